--- /dev/null
+++ b/quartzrouter/__init__.py
@@ -0,0 +1,1 @@
+"""quartzrouter: a req router for caches that fill from parent caches and an origin."""
--- /dev/null
+++ b/quartzrouter/control.py
@@ -0,0 +1,562 @@
+"""Every decision of the router; the values that go in and out are in quartzrouter/interface.py.
+
+One Router per instance.  Ask it three things: route(req, now) where a req goes, after(req, outcome, now)
+what follows a dispatch, wait(now) how long until it wants to be asked again.  Tell it what happens: heard()
+the cache list, purged(), probed(), begun() a streamed answer, left() a client.  A Hold is asked again through
+route().
+"""
+
+import logging
+import zlib
+from collections import OrderedDict, deque
+from dataclasses import replace
+from hashlib import blake2b
+
+from quartzrouter.interface import (
+    Abort, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Req, State, Tier, Told,
+    VHost, Wait,
+)  # fmt: skip
+
+log = logging.getLogger(__name__)
+
+MS = 1_000  # us
+S = 1_000_000  # us
+BUSY_AT = 8  # reqs outstanding; the design's start
+BUSY_AFTER_FULL = 1 * S  # the design's: a refusal speaks of a queue that takes about that long to drain
+QUIET = 10 * S  # the design's start: a walk length unchanged for so long drops by one
+WALKS = 8_192  # entries; the paper asks for far more than there are caches
+ORDERS = 16_384  # objects whose hash order is kept; some MB
+CROWDED_AT = 32  # reqs naming one parent; most are hits that never reach it, so a few times BUSY_AT
+ANSWER_MARGIN = 6 * MS  # final answers come this long before the client timeout: a few batches
+REPEAT_MARGIN = 50 * MS  # a repeat is sent this long before its key is forgotten: several network delays
+ERRORS_OUT = 3  # errors before a server is judged: fewer are chance
+ERROR_SHARE = 0.25  # of its recent answers, and twice what its peers show: an outlier
+MARKS_KEPT = 24  # answers; then both marks are halved, so that some seconds count
+OUT_FOR = 1 * S  # first ejection; doubled at each relapse
+OUT_MOST = 8 * S  # the longest one: shorter than most troubles, so that a return is soon seen
+TRUSTED_AFTER = 4  # good answers on trial
+PROBE_EVERY = 500 * MS  # of what is out for not being reached: cheap beside the reqs it saves
+COLD_SHARE = 0.6  # of a cold budget that is used: sizes clump, and other routers' shares may too
+LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
+HOLD = 20 * MS  # until a held req is asked again: short beside any target
+RETRY_RATE = 0.3  # further dispatches for each first one in the long run: no storm of our own
+RETRY_BURST = 20.0  # further dispatches that may come at once, for a server that dies full of reqs
+BINS = tuple(round(4 * MS * 1.5**n) for n in range(22))  # 4 ms to 20 s, in steps of half as much again
+
+
+class Histogram:
+    """A few coarse bins, halved from time to time."""
+
+    def __init__(self, keep: int = 400):
+        self.keep, self.bins, self.count, self.total = keep, [0] * len(BINS), 0, 0
+
+    def add(self, value: int) -> None:
+        at = next((n for n, top in enumerate(BINS) if value < top), len(BINS) - 1)
+        self.bins[at] += 1
+        self.count += 1
+        if self.count >= self.keep:
+            self.bins = [n // 2 for n in self.bins]
+            self.count = sum(self.bins)
+
+    def mean(self, default: int) -> int:
+        if self.count < 8:
+            return default
+        return sum(n * top for n, top in zip(self.bins, BINS, strict=True)) * 5 // (6 * self.count)
+
+
+class Roster:
+    """The cache list by small indices, and who may be sent to."""
+
+    def __init__(self, home: str):
+        self.home = home
+        self.index: dict[str, int] = {}
+        self.be: list[Listed] = []
+        self.started: list[int] = []  # the last known start, listed or seen
+        self.caches: list[int] = []
+        self.parents: list[int] = []  # all that are listed, drained or not: an object's order stays
+        self.origins: list[int] = []
+
+    def hear(self, lines: list[Listed], whole: bool) -> list[int]:
+        """Takes in the list or changes to it; returns what has started anew."""
+        fresh, named = [], set()
+        for line in lines:
+            at = self.index.setdefault(line.name, len(self.be))
+            if at == len(self.be):
+                self.be.append(line)
+                self.started.append(0)
+            elif line.state != self.be[at].state:
+                log.info("%s is %s", line.name, line.state.value)
+            self.be[at] = line
+            if line.started > self.started[at]:
+                self.started[at] = line.started
+                fresh.append(at)
+            named.add(line.name)
+        for at, be in enumerate(self.be):
+            if whole and be.name not in named:
+                self.be[at] = replace(be, state=State.GONE)
+        listed = [at for at, be in enumerate(self.be) if be.state != State.GONE]
+        tiers = {tier: [n for n in listed if self.be[n].tier == tier] for tier in Tier}
+        self.caches = [n for n in tiers[Tier.CACHE] if self.be[n].location == self.home and self.up(n)]
+        self.parents = tiers[Tier.PARENT]
+        self.origins = [n for n in tiers[Tier.ORIGIN] if self.up(n)]
+        return fresh
+
+    def peers(self, tier: Tier) -> list[int]:
+        return {Tier.CACHE: self.caches, Tier.PARENT: self.parents, Tier.ORIGIN: self.origins}[tier]
+
+    def up(self, at: int) -> bool:
+        return self.be[at].state == State.UP
+
+
+class Walk:
+    """The design's pick: hash order, walk-length table, least loaded of the top ones (paper, 3.4.2)."""
+
+    def __init__(self, busy_at: int, quiet: int, size: int):
+        self.busy_at, self.quiet = busy_at, quiet
+        self.table = [(1, 0)] * size  # walk length, last change
+        self.orders: OrderedDict[tuple[str, bool], list[int]] = OrderedDict()
+
+    def order(self, obj: str, among: list[int], roster: Roster, parents: bool) -> list[int]:
+        found = self.orders.get((obj, parents))
+        if found is None:
+
+            def height(at: int) -> bytes:
+                return blake2b(f"{obj}\0{roster.be[at].name}".encode(), digest_size=8).digest()
+
+            found = self.orders[obj, parents] = sorted(among, key=height, reverse=True)
+            if len(self.orders) > ORDERS:
+                self.orders.popitem(last=False)
+        return found
+
+    def pick(self, obj: str, order: list[int], load: list[int], full, now: int) -> int:
+        slot = zlib.crc32(obj.encode()) % len(self.table)
+        length, changed = self.table[slot]
+        best = min(order[:length], key=lambda at: load[at])  # the first of equals: the higher hash
+        steps = length
+        if load[best] >= self.busy_at or full(best):
+            free = ((n, at) for n, at in enumerate(order, 1) if load[at] < self.busy_at and not full(at))
+            steps, best = next(free, (len(order), order[0]))
+        elif length > 1 and now - changed > self.quiet:
+            steps = length - 1
+        if steps != length:
+            self.table[slot] = (steps, now)
+        return best
+
+
+class WarmUp:
+    """What cold servers of one tier may be sent: a budget over every window, shared among their routers."""
+
+    def __init__(self, cold: ColdStart, share: float):
+        self.cold, self.share = cold, share
+        self.sent: dict[int, deque[list[int]]] = {}  # per server: when, sending time
+
+    def room(self, at: int, link: float, started: int, weight: int, now: int) -> bool:
+        cold = self.cold
+        age = now - started - cold.window  # what it could do when the window began
+        if not started or age >= cold.ramp:
+            return True
+        can = link * (cold.floor + (1 - cold.floor) * max(0, age) / cold.ramp)
+        spent = self.sent.setdefault(at, deque())
+        while spent and spent[0][0] <= now - cold.window:
+            spent.popleft()
+        budget = can * cold.multiple * cold.window * self.share / cold.routers
+        return sum(w for _, w in spent) + weight <= budget
+
+    def spend(self, at: int, weight: int, now: int) -> list[int]:
+        spent = self.sent.setdefault(at, deque())
+        while spent and spent[0][0] <= now - self.cold.window:
+            spent.popleft()
+        spent.append([now, weight])
+        return spent[-1]
+
+
+class Purges:
+    """The oldest copy that will do; bounded, as old copies are gone everywhere after a told time."""
+
+    def __init__(self, life: int):
+        self.life = life
+        self.at: dict[tuple[int | None, str | None], int] = {}
+
+    def add(self, group: int | None, obj: str | None, when: int, now: int) -> None:
+        key = (None, obj) if obj else (group, None)
+        self.at[key] = max(when, self.at.get(key, when))
+        for old in [key for key, when in self.at.items() if now - when > self.life + S]:
+            del self.at[old]
+
+    def oldest(self, group: int | None, obj: str, usual: int, now: int) -> int:
+        when = max(self.at.get((None, obj), -1), self.at.get((group, None), -1))
+        if when < 0 or now - when > self.life + S:
+            return usual
+        age = max(1, now - when)  # never 0: on the wire that is the usual age
+        return min(age, usual) if usual else age
+
+
+class Health:
+    """Outliers by their own failures, with a way back; busy after a refusal.
+
+    Covers fast errors, dead servers that the list still shows, and stalls that run into time-outs.  Could
+    harm when all fail alike: so it is judged against its peers, and at most half are out for errors.
+    """
+
+    def __init__(self, chance):
+        self.chance = chance
+        self.marks: dict[int, list[int]] = {}  # good, bad
+        self.out: dict[int, int] = {}  # until when
+        self.strikes: dict[int, int] = {}
+        self.unreached: dict[int, int] = {}  # when a connection last failed
+        self.full: dict[int, int] = {}
+        self.probe_at: dict[int, int] = {}
+
+    def good(self, at: int) -> None:
+        marks = self.marks.setdefault(at, [0, 0])
+        marks[0] += 1
+        if self.strikes.get(at) and marks[0] >= TRUSTED_AFTER and marks[0] > 3 * marks[1]:
+            del self.strikes[at]
+        if sum(marks) >= MARKS_KEPT:
+            marks[:] = marks[0] // 2, marks[1] // 2
+
+    def bad(self, at: int, peers: list[int], now: int, name: str, unreached: bool) -> None:
+        marks = self.marks.setdefault(at, [0, 0])
+        marks[1] += 1
+        if unreached:
+            self.unreached[at] = now
+            self.eject(at, now, name)
+            return
+        others = [self.marks.get(n, (0, 0)) for n in peers if n != at]
+        theirs = sum(bad for _, bad in others) / max(1, sum(sum(m) for m in others))
+        due = 1 if self.strikes.get(at) else ERRORS_OUT
+        out = sum(self.out.get(n, 0) > now for n in peers)
+        outlier = marks[1] >= due and marks[1] / sum(marks) > max(ERROR_SHARE, 2 * theirs)
+        if outlier and 2 * (out + 1) <= len(peers):
+            self.eject(at, now, name)
+
+    def eject(self, at: int, now: int, name: str) -> None:
+        if self.out.get(at, 0) > now:
+            return
+        times = self.strikes[at] = self.strikes.get(at, 0) + 1
+        span = min(OUT_MOST, OUT_FOR << min(times - 1, 6))
+        self.out[at] = now + span + self.chance(span // 4)
+        self.probe_at[at] = now + PROBE_EVERY
+        self.marks[at] = [0, 0]
+        log.info("%s is out, for the %d. time in a row", name, times)
+
+    def refused(self, at: int, now: int) -> None:
+        self.full[at] = now + BUSY_AFTER_FULL
+
+    def is_full(self, at: int, now: int) -> bool:
+        return self.full.get(at, 0) > now
+
+    def usable(self, at: int, outstanding: int, now: int) -> bool:
+        """Not out; after an ejection one req at a time until one has come back well."""
+        if self.out.get(at, 0) > now:
+            return False
+        return not self.strikes.get(at) or outstanding == 0 or self.marks[at][0] > 0
+
+    def probed(self, at: int, well: bool, now: int) -> bool:
+        """A server that was not reached answers again: it is tried at once."""
+        back = well and self.out.get(at, 0) > now and at in self.unreached
+        if back:
+            self.out[at] = now
+        return back
+
+    def due(self, now: int) -> list[int]:
+        found = [n for n, at in self.probe_at.items() if at <= now and self.out.get(n, 0) > now]
+        for n in found:
+            self.probe_at[n] = now + PROBE_EVERY
+        return found
+
+
+class Sources:
+    """Where a miss is filled from: the first parent in the object's order that will do, then the origin."""
+
+    def __init__(self, crowded_at: int):
+        self.crowded_at = crowded_at
+
+    def pick(self, parents: list[int], origins: list[int], naming: list[int], usable) -> int | None:
+        for at in parents:
+            if naming[at] < self.crowded_at and usable(at):
+                return at
+        return next((at for at in origins if usable(at)), origins[0] if origins else None)
+
+
+class Flight:
+    """A req in hand."""
+
+    def __init__(self, req: Req, vhost: VHost | None, now: int):
+        self.req, self.vhost, self.came = req, vhost, now
+        self.deadline = now + req.timeout - ANSWER_MARGIN
+        self.hops = 0
+        self.over = self.streaming = False
+        self.out: dict[int, tuple] = {}  # hop: cache, source, sent, the source's cold budget
+        self.avoid: set[int] = set()  # what has failed this req
+        self.ran: tuple[int, Listed] | None = None  # the first dispatch that may have run: when, where
+
+
+class Retries:
+    """Whether a req may be dispatched, or denied: effect, window, attempts and a budget."""
+
+    def __init__(self, most: int, rate: float, burst: float):
+        self.most, self.rate, self.burst, self.tokens = most, rate, burst, burst
+
+    def may_send(self, flight: Flight, now: int) -> bool:
+        if flight.over or flight.streaming or flight.out:
+            return False
+        if flight.hops >= self.most or now >= flight.deadline:
+            return False
+        if flight.ran is None or flight.vhost.effect is Effect.REPLAYABLE:
+            return True
+        left = flight.ran[0] + flight.vhost.repeats_for - REPEAT_MARGIN - now
+        return flight.vhost.effect is Effect.UNIQUED and left > 0
+
+    def may_reach(self, flight: Flight, be: Listed) -> bool:
+        if (
+            flight.ran is None
+            or flight.vhost.effect is Effect.REPLAYABLE
+            or flight.vhost.repeats_within == "all"
+        ):
+            return True
+        if flight.vhost.repeats_within == "zone":
+            return be.location == flight.ran[1].location
+        return be.location == flight.ran[1].location and be.cell == flight.ran[1].cell
+
+    def may_deny(self, flight: Flight) -> bool:
+        if flight.ran is None or flight.vhost.effect is Effect.REPLAYABLE:
+            return True
+        return flight.vhost.effect is Effect.UNIQUED and flight.vhost.repeats_within == "all"
+
+    def pay(self, flight: Flight) -> bool:
+        if not flight.hops:
+            self.tokens = min(self.burst, self.tokens + self.rate)
+        elif self.tokens < 1:
+            return False
+        else:
+            self.tokens -= 1
+        return True
+
+
+class Router:
+    def __init__(
+        self, me: int, seed: int, home: str, vhosts: list[VHost], permits: Permits, cold_cache: ColdStart,
+        cold_parent: ColdStart, purge_life: int, pace: float, rated: bool,
+    ):  # fmt: skip
+        self.me, self.seed, self.draws = me, seed, 0
+        self.permits, self.pace, self.rated = permits, pace, rated
+        self.vhosts = {vhost.name: vhost for vhost in vhosts}
+        self.sending = {vhost.name: Histogram() for vhost in vhosts}
+        self.roster = Roster(home)
+        self.walk = Walk(BUSY_AT, QUIET, WALKS)
+        self.sources = Sources(CROWDED_AT)
+        self.warm = {Tier.CACHE: WarmUp(cold_cache, COLD_SHARE), Tier.PARENT: WarmUp(cold_parent, COLD_SHARE)}
+        self.purges = Purges(purge_life)
+        self.health = Health(self._chance)
+        self.retries = Retries(permits.dispatches, RETRY_RATE, RETRY_BURST)
+        self.flights: dict[int, Flight] = {}
+        self.load: list[int] = []  # reqs outstanding, by server
+        self.naming: list[int] = []  # of those to others, how many name it as source
+        self.seen: tuple[set, set] = (set(), set())  # objects asked for lately, and before that
+        self.subscribe_at = 0 if permits.subscribe else None
+
+    # -- telling ---------------------------------------------------------------------------------------
+
+    def heard(self, lines: list[Listed], whole: bool, now: int) -> None:
+        for at in self.roster.hear(lines, whole):
+            self.health.strikes.pop(at, None)
+            self.health.out.pop(at, None)
+        self.load += [0] * (len(self.roster.be) - len(self.load))
+        self.naming += [0] * (len(self.roster.be) - len(self.naming))
+        self.walk.orders.clear()
+
+    def list_failed(self, now: int) -> None:
+        if self.permits.subscribe:
+            self.subscribe_at = now + S + self._chance(S)
+
+    def purged(self, group: int | None, obj: str | None, age: int, now: int) -> None:
+        self.purges.add(group, obj, now - age, now)
+
+    def probed(self, name: str, well: bool, report: dict[str, float], now: int) -> None:
+        at = self.roster.index.get(name)
+        if at is not None and self.health.probed(at, well, now):
+            self.roster.started[at] = max(self.roster.started[at], self.health.unreached.pop(at))
+            log.info("%s answers again and is taken for cold", name)
+
+    def begun(self, req_id: int) -> None:
+        if req_id in self.flights:
+            self.flights[req_id].streaming = True
+
+    def left(self, req_id: int) -> int | None:
+        """The client has gone; returns the hop to call off, if any."""
+        flight = self.flights.get(req_id)
+        if flight is None:
+            return None
+        self._end(flight)
+        return next(iter(flight.out), None) if self.permits.call_off and not flight.streaming else None
+
+    # -- asking ----------------------------------------------------------------------------------------
+
+    def route(self, req: Req, now: int) -> Dispatch | Hold | Deny | Abort | None:
+        flight = self.flights.get(req.id)
+        if flight is None:
+            flight = self.flights[req.id] = Flight(req, self.vhosts.get(req.vhost), now)
+            if flight.vhost and req.size_kb and self.pace:
+                self.sending[req.vhost].add(int(req.size_kb / self.pace * S))
+        return None if flight.over or flight.out else self._next(flight, now)
+
+    def after(self, req_id: int, outcome: Outcome, now: int) -> Dispatch | Hold | Deny | Abort | None:
+        flight = self.flights.get(req_id)
+        if flight is None or outcome.hop not in flight.out:
+            return None
+        at, source, sent, cold = flight.out.pop(outcome.hop)
+        self.load[at] -= 1
+        self.naming[source] -= source != at
+        self._judge(flight, at, source, cold, outcome, now)
+        if not outcome.ending.never_ran and flight.ran is None:
+            flight.ran = (sent, self.roster.be[at])
+        if flight.over or outcome.over or outcome.ending is Ending.DONE:
+            self._end(flight)
+            return None
+        return self._next(flight, now)
+
+    def wait(self, now: int) -> Wait:
+        probes = self.health.due(now) if self.permits.probes else []
+        subscribe = self.subscribe_at is not None and self.subscribe_at <= now
+        if subscribe:
+            self.subscribe_at = None
+        return Wait(PROBE_EVERY // 2, tuple(self.roster.be[at].name for at in probes), subscribe)
+
+    # -- deciding --------------------------------------------------------------------------------------
+
+    def _next(self, flight: Flight, now: int) -> Dispatch | Hold | Deny | Abort:
+        if flight.vhost is None or not self.retries.may_send(flight, now):
+            return self._give_up(flight)
+        roster, obj, weight = self.roster, flight.req.obj, self._weight(flight.vhost)
+        order = self.walk.order(obj, roster.parents, roster, True)
+        parents = [at for at in order if roster.up(at) and at not in flight.avoid]
+        origins = [at for at in roster.origins if at not in flight.avoid] or roster.origins
+        if flight.vhost.never_kept:
+            parents = []
+        source = self.sources.pick(parents, origins, self.naming, lambda at: self._source_ok(at, weight, now))
+        if flight.vhost.never_kept and self.permits.pass_through and source is not None:
+            be = source if self.retries.may_reach(flight, roster.be[source]) else None
+        else:
+            able = [at for at in roster.caches if self.retries.may_reach(flight, roster.be[at])]
+            fit = [at for at in able if self.health.usable(at, self.load[at], now)] or able
+            fit = [at for at in fit if at not in flight.avoid] or fit
+            fit = [at for at in fit if self._warm(at, weight, now)]
+            keep = set(fit)
+            order = [at for at in self.walk.order(obj, roster.caches, roster, False) if at in keep]
+            be = None
+            if order:
+                be = self.walk.pick(obj, order, self.load, lambda at: self.health.is_full(at, now), now)
+            elif self.permits.pass_through and flight.ran is None:
+                be = source  # every cache is out or cold to its limit: a parent or the origin answers
+        if be is None:
+            return self._hold(flight, now)
+        if not self.retries.pay(flight):
+            return self._give_up(flight)
+        return self._dispatch(flight, be, be if source is None else source, weight, now)
+
+    def _dispatch(self, flight: Flight, be: int, source: int, weight: int, now: int) -> Dispatch:
+        req, vhost, roster = flight.req, flight.vhost, self.roster
+        if roster.be[be].tier is Tier.CACHE:
+            self.warm[Tier.CACHE].spend(be, weight, now)
+        cold = None
+        if roster.be[source].tier is Tier.PARENT:
+            cold = self.warm[Tier.PARENT].spend(source, weight, now)
+        if source == be and roster.be[be].tier is Tier.PARENT and roster.origins:
+            source = roster.origins[0]
+        hop, flight.hops = flight.hops, flight.hops + 1
+        flight.out[hop] = (be, source, now, cold)
+        self.load[be] += 1
+        self.naming[source] += source != be
+        usual = vhost.fresh_for
+        if usual and flight.avoid:
+            usual += vhost.grace_for  # a source has failed this req: an old copy is better than none
+        oldest = self.purges.oldest(req.group, req.obj, usual, now)
+        rank = 0 if vhost.never_kept else self._rank(req)
+        timeout = max(1, flight.deadline - now)
+        names = roster.be[be].name, roster.be[source].name
+        return Dispatch(hop, *names, rank, oldest, self.permits.joins, bool(vhost.fresh_for), timeout)
+
+    def _judge(self, flight: Flight, at: int, source: int, cold, outcome: Outcome, now: int) -> None:
+        """Which side failed, where the answer tells; else both are marked, and peers tell them apart."""
+        ending, told, roster = outcome.ending, outcome.told, self.roster
+        if ending is Ending.DONE:
+            self.health.good(at)
+            if told in (Told.FILLED, Told.FROM_ORIGIN) or (told is Told.NOTHING and source != at):
+                self.health.good(source)
+            if told is Told.HIT:
+                if cold:
+                    cold[1] = 0  # it never reached the parent
+                if not flight.req.size_kb:
+                    self.sending[flight.vhost.name].add(outcome.elapsed)
+            return
+        if ending in (Ending.CALLED_OFF, Ending.UNSENT):
+            return
+        blamed = {at}
+        if told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.SOURCE_LACKS):
+            blamed = {source}
+        elif told is Told.ORIGIN_LOST:
+            blamed = set(roster.origins)
+        elif told is Told.NOTHING and ending is Ending.ERROR:
+            blamed = {at, source}
+        flight.avoid |= blamed
+        if ending is Ending.FULL:
+            for n in blamed:
+                self.health.refused(n, now)
+        elif ending is not Ending.LACKING:
+            for n in sorted(blamed):
+                be = roster.be[n]
+                self.health.bad(
+                    n, roster.peers(be.tier), now, be.name, ending is Ending.NO_CONNECTION and n == at
+                )
+
+    def _give_up(self, flight: Flight) -> Deny | Abort:
+        self._end(flight)
+        if flight.vhost is None or self.retries.may_deny(flight):
+            return Deny(min(self.permits.longest_wait, S // 2))
+        return Abort()
+
+    def _hold(self, flight: Flight, now: int) -> Hold | Deny | Abort:
+        if now + HOLD >= min(flight.deadline, flight.came + self._target(flight)):
+            return self._give_up(flight)
+        return Hold(HOLD + self._chance(HOLD // 2))
+
+    def _end(self, flight: Flight) -> None:
+        flight.over = True
+        if not flight.out:
+            self.flights.pop(flight.req.id, None)
+
+    # -- weighing --------------------------------------------------------------------------------------
+
+    def _chance(self, below: int) -> int:
+        self.draws += 1
+        return zlib.crc32(f"{self.me}/{self.seed}/{self.draws}".encode()) % max(1, below)
+
+    def _weight(self, vhost: VHost) -> int:
+        return self.sending[vhost.name].mean(vhost.first_byte_target)
+
+    def _target(self, flight: Flight) -> int:
+        own = int(flight.req.size_kb / self.pace * S) if self.pace else 0
+        stretch = flight.vhost.target_stretch * (own or self._weight(flight.vhost))
+        return int(flight.vhost.first_byte_target + stretch)
+
+    def _link(self, at: int) -> float:
+        return self.roster.be[at].rating if self.rated else LINK_GUESS
+
+    def _warm(self, at: int, weight: int, now: int) -> bool:
+        warm = self.warm.get(self.roster.be[at].tier)
+        return warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, now)
+
+    def _source_ok(self, at: int, weight: int, now: int) -> bool:
+        if self.health.is_full(at, now) or not self.health.usable(at, self.naming[at], now):
+            return False
+        return self._warm(at, weight, now)
+
+    def _rank(self, req: Req) -> int:
+        """A first look may be the only one: what is asked for again is kept before it."""
+        key, (new, old) = (req.obj, req.part), self.seen
+        rank = 2 if key in new or key in old else 1
+        new.add(key)
+        if len(new) > ORDERS:
+            self.seen = (set(), new)
+        return rank
--- /dev/null
+++ b/quartzrouter/drill/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from quartzrouter.drill.host import main
+
+sys.exit(main(sys.stdin.buffer, sys.stdout.buffer))
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,128 @@
+"""Drives one Router by hand and prints what it decides; a test compares that with its kept trace."""
+
+import logging
+from pathlib import Path
+
+import pytest
+
+from quartzrouter import control
+from quartzrouter.interface import (
+    ColdStart,
+    Dispatch,
+    Effect,
+    Ending,
+    Listed,
+    Outcome,
+    Permits,
+    Req,
+    State,
+    Tier,
+    Told,
+    VHost,
+)
+
+MS, S = 1_000, 1_000_000
+TRACES = Path(__file__).parent / "traces"
+
+
+def vhost(name, effect=Effect.REPLAYABLE, **other):
+    given = dict(
+        value=1.0, first_byte_target=400 * MS, target_stretch=2.0, client_timeout=3 * S, late_share=0.2,
+        repeats_within="all", repeats_for=3 * S, fresh_for=0, grace_for=0, old_share=0.7, never_kept=False,
+    )  # fmt: skip
+    return VHost(name, effect, **(given | other))
+
+
+class Drive(logging.Handler):
+    """Three caches c1 to c3, two parents p1 and p2, the origin o; 1000 KB take a second to send."""
+
+    def __init__(self, rated=True, **permits):
+        super().__init__()
+        self.lines, self.now, self.hops, self.last = [], 10 * S, {}, {}
+        control.log.handlers, control.log.propagate = [self], False
+        control.log.setLevel(logging.INFO)
+        given = dict(
+            dispatches=4, pass_through=True, joins=True, siblings=False, probes=True, call_off=True,
+            longest_wait=2 * S, subscribe=False,
+        )  # fmt: skip
+        cold = ColdStart(floor=0.25, ramp=16 * S, multiple=2.0, window=S, routers=2)
+        self.router = control.Router(
+            me=0, seed=7, home="north", permits=Permits(**(given | permits)),
+            cold_cache=cold, cold_parent=cold, purge_life=6 * S, pace=1000.0, rated=rated,
+            vhosts=[
+                vhost("clip", value=2.0, first_byte_target=500 * MS, client_timeout=5 * S),
+                vhost("page", fresh_for=8 * S, grace_for=20 * S),
+                vhost("sale", Effect.UNIQUED, value=3.0, never_kept=True),
+                vhost("vote", Effect.NON_REPLAYABLE, value=3.0, never_kept=True),
+            ],
+        )  # fmt: skip
+        self.list(whole=True, c1="up", c2="up", c3="up", p1="up", p2="up", o="up")
+
+    def emit(self, record):
+        self.print(f"log: {record.getMessage()}")
+
+    def print(self, text):
+        self.lines.append(f"{self.now // MS - 10_000:6d} ms  {text}")
+
+    def list(self, whole=False, started=0, **states):
+        tiers = {"c": (Tier.CACHE, 6.0), "p": (Tier.PARENT, 20.0), "o": (Tier.ORIGIN, 8.0)}
+        self.router.heard(
+            [
+                Listed(name, "north" if name[0] == "c" else "hub", tiers[name[0]][0], "box", 0, State(state),
+                       tiers[name[0]][1], started)
+                for name, state in states.items()
+            ], whole, self.now,
+        )  # fmt: skip
+
+    def pass_(self, ms):
+        self.now += ms * MS
+
+    def say(self, what, answer):
+        if isinstance(answer, Dispatch):
+            oldest = f"{answer.oldest // MS} ms" if answer.oldest else "usual"
+            text = f"{answer.be} filling from {answer.source}, rank {answer.rank}, age {oldest}"
+        else:
+            text = "nothing" if answer is None else str(answer)
+        self.print(f"{what}: {text}")
+        return answer
+
+    def req(self, id, vhost, obj="a", kb=200.0, part=0, group=1, timeout=None, quiet=False):
+        timeout = timeout or self.router.vhosts[vhost].client_timeout // MS
+        self.last[id] = Req(id, vhost, obj, group, part, kb, timeout * MS)
+        return self.ask(id, quiet)
+
+    def ask(self, id, quiet=False):
+        req = self.last[id]
+        answer = self.router.route(req, self.now)
+        if isinstance(answer, Dispatch):
+            self.hops[id] = answer.hop
+        return answer if quiet else self.say(f"req {id} {req.vhost} {req.obj}/{req.part}", answer)
+
+    def end(self, id, ending, told=Told.NOTHING, elapsed=50, quiet=False):
+        outcome = Outcome(self.hops[id], ending, elapsed * MS, told, ending is Ending.DONE)
+        answer = self.router.after(id, outcome, self.now)
+        if isinstance(answer, Dispatch):
+            self.hops[id] = answer.hop
+        return (
+            answer
+            if quiet
+            else self.say(f"req {id} {ending.value[0]}{' ' + told.name.lower() if told else ''}", answer)
+        )
+
+
+def pytest_addoption(parser):
+    parser.addoption(
+        "--retrace", action="store_true", help="write the traces anew, to be read before a commit"
+    )
+
+
+@pytest.fixture
+def drive(request):
+    made = Drive(**getattr(request, "param", {}))
+    yield made
+    kept = TRACES / f"{request.node.originalname.removeprefix('test_')}.txt"
+    text = "\n".join(made.lines) + "\n"
+    if request.config.getoption("--retrace"):
+        kept.parent.mkdir(exist_ok=True)
+        kept.write_text(text)
+    assert text == kept.read_text()
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,98 @@
+"""Each test plays a short scene; its decisions must be those of tests/traces/, which are there to be read."""
+
+import pytest
+
+from quartzrouter.interface import Ending, Told
+
+
+def test_walk_grows_past_busy_caches_and_shrinks_after_quiet(drive):
+    for n in range(10):
+        drive.req(n, "page", kb=10)
+    drive.print(f"walk length {max(drive.router.walk.table)[0]}")
+    for n in range(10):
+        drive.end(n, Ending.DONE, Told.HIT, quiet=True)
+    drive.pass_(11_000)
+    drive.req(20, "page", kb=10)
+    drive.print(f"walk length {max(drive.router.walk.table)[0]}")
+
+
+def test_fills_of_an_object_meet_at_one_parent_and_skip_a_failing_one(drive):
+    for n, obj in enumerate("abcdef"):
+        drive.req(n, "clip", obj)
+        drive.end(n, Ending.DONE, Told.FILLED, quiet=True)
+    drive.req(10, "clip", "a")
+    drive.end(10, Ending.FULL, Told.SOURCE_FULL)
+    drive.req(11, "clip", "a")
+    drive.pass_(1_100)
+    drive.req(12, "clip", "a")
+
+
+def test_a_cache_that_errors_at_once_is_put_out_and_comes_back(drive):
+    first = drive.req(0, "clip", "a").be
+    drive.end(0, Ending.ERROR, Told.HIT)
+    for n in range(1, 4):
+        if drive.req(n, "clip", "a").be == first:
+            drive.end(n, Ending.ERROR, Told.HIT)
+    drive.pass_(1_600)
+    drive.req(10, "clip", "a")
+    drive.req(11, "clip", "a")
+    drive.end(10, Ending.DONE, Told.HIT)
+    drive.req(12, "clip", "a")
+
+
+def test_a_lost_cache_is_probed_and_taken_for_cold(drive):
+    lost = drive.req(0, "clip", "a").be
+    drive.end(0, Ending.NO_CONNECTION)
+    drive.pass_(600)
+    drive.print(f"probes {drive.router.wait(drive.now).probes}")
+    drive.router.probed(lost, True, {}, drive.now)
+    for n in range(1, 4):
+        drive.req(n, "clip", "a")
+
+
+def test_a_cold_cache_gets_its_budget_and_a_drained_one_nothing(drive):
+    drive.list(c1="draining", c2="draining")
+    drive.list(c3="up", started=drive.now)
+    for n in range(6):
+        drive.req(n, "clip", "a")
+    drive.pass_(1_100)
+    drive.req(10, "clip", "a")
+
+
+def test_a_purge_bounds_the_age_and_is_never_zero(drive):
+    drive.router.purged(1, "a", 0, drive.now)
+    drive.req(0, "clip", "a")
+    drive.req(1, "clip", "b")
+    drive.router.purged(1, None, 100_000, drive.now)
+    drive.pass_(200)
+    drive.req(2, "clip", "b")
+    drive.req(3, "page", "b")
+    drive.pass_(7_500)
+    drive.req(4, "clip", "a")
+
+
+def test_an_effect_never_runs_twice(drive):
+    drive.req(0, "vote")
+    drive.end(0, Ending.FULL)
+    drive.ask(0)
+    drive.end(0, Ending.LATE)
+    drive.req(1, "vote")
+    drive.end(1, Ending.CUT)
+    drive.req(2, "sale")
+    drive.pass_(2_500)
+    drive.end(2, Ending.ERROR)
+    drive.req(3, "sale", timeout=6_000)
+    drive.pass_(2_960)
+    drive.end(3, Ending.ERROR)
+
+
+def test_late_outcomes_of_a_req_that_left_settle_the_counts(drive):
+    drive.req(0, "clip", "a")
+    drive.print(f"call off hop {drive.router.left(0)}, load {sorted(drive.router.load)}")
+    drive.end(0, Ending.CALLED_OFF)
+    drive.print(f"load {sorted(drive.router.load)}, in hand {len(drive.router.flights)}")
+
+
+@pytest.mark.parametrize("drive", [{"pass_through": False}], indirect=True)
+def test_without_passing_through_a_write_runs_by_way_of_a_cache(drive):
+    drive.req(0, "sale")
