Deny work that cannot meet its first-byte target at the cache's shared pace

Danger met: work in hand grows beyond what can be in time. Also covers bursts, retry storms, slow caches (their reqs pile up).

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -37,6 +37,7 @@
 TRUSTED_AFTER = 4  # good answers on trial
 PROBE_EVERY = 500 * MS  # of what is out for not being reached: cheap beside the reqs it saves
 COLD_SHARE = 0.6  # of a cold budget that is used: sizes clump, and other routers' shares may too
+PACE_MARGIN = 1.2  # more will come while a req is sent
 LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
 HOLD = 20 * MS  # until a held req is asked again: short beside any target
 RETRY_RATE = 0.3  # further dispatches for each first one in the long run: no storm of our own
@@ -451,6 +452,8 @@
                 be = source  # every cache is out or cold to its limit: a parent or the origin answers
         if be is None:
             return self._hold(flight, now)
+        if not self._in_time(flight, be, now):
+            return self._give_up(flight)
         if not self.retries.pay(flight):
             return self._give_up(flight)
         return self._dispatch(flight, be, be if source is None else source, weight, now)
@@ -540,6 +543,18 @@
         stretch = flight.vhost.target_stretch * (own or self._weight(flight.vhost))
         return int(flight.vhost.first_byte_target + stretch)
 
+    def _in_time(self, flight: Flight, be: int, now: int) -> bool:
+        """Work that cannot meet its first-byte target is not begun: it would only make others late as well.
+
+        Covers bursts, overload, retry storms and slow caches; could harm where the link is better than told.
+        """
+        if self.roster.be[be].tier is not Tier.CACHE:
+            return True
+        own = int(flight.req.size_kb / self.pace * S) if self.pace else 0
+        own = own or self._weight(flight.vhost)
+        shared = max(1.0, (self.load[be] + 1) * self.warm[Tier.CACHE].cold.routers / self._link(be))
+        return now + own * shared * PACE_MARGIN <= flight.came + self._target(flight)
+
     def _link(self, at: int) -> float:
         return self.roster.be[at].rating if self.rated else LINK_GUESS
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -96,3 +96,10 @@
 @pytest.mark.parametrize("drive", [{"pass_through": False}], indirect=True)
 def test_without_passing_through_a_write_runs_by_way_of_a_cache(drive):
     drive.req(0, "sale")
+
+
+def test_work_that_cannot_meet_its_target_is_denied_at_once(drive):
+    for n in range(24):
+        drive.req(n, "clip", "a", kb=500, quiet=True)
+    drive.req(30, "clip", "a", kb=500)
+    drive.req(31, "page", "a", kb=20)
