--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -406,9 +406,11 @@
         flight = self.flights.get(req_id)
         if flight is None or outcome.hop not in flight.out:
             return None
-        at, source, sent, cold = flight.out.pop(outcome.hop)
+        at, source, sent, cold, shared = flight.out.pop(outcome.hop)
         self.load[at] -= 1
         self.naming[source] -= source != at
+        if outcome.told is Told.HIT and not flight.req.size_kb:
+            self.sending[flight.req.vhost].add(int(outcome.elapsed / shared))
         self._judge(flight, at, source, cold, outcome, now)
         if not outcome.ending.never_ran and flight.ran is None:
             flight.ran = (sent, self.roster.be[at])
@@ -468,7 +470,7 @@
         if source == be and roster.be[be].tier is Tier.PARENT and roster.origins:
             source = roster.origins[0]
         hop, flight.hops = flight.hops, flight.hops + 1
-        flight.out[hop] = (be, source, now, cold)
+        flight.out[hop] = (be, source, now, cold, self._shared(be))
         self.load[be] += 1
         self.naming[source] += source != be
         usual = vhost.fresh_for
@@ -487,11 +489,8 @@
             self.health.good(at)
             if told in (Told.FILLED, Told.FROM_ORIGIN) or (told is Told.NOTHING and source != at):
                 self.health.good(source)
-            if told is Told.HIT:
-                if cold:
-                    cold[1] = 0  # it never reached the parent
-                if not flight.req.size_kb:
-                    self.sending[flight.vhost.name].add(outcome.elapsed)
+            if told is Told.HIT and cold:
+                cold[1] = 0  # it never reached the parent
             return
         if ending in (Ending.CALLED_OFF, Ending.UNSENT):
             return
@@ -552,9 +551,13 @@
             return True
         own = int(flight.req.size_kb / self.pace * S) if self.pace else 0
         own = own or self._weight(flight.vhost)
-        shared = max(1.0, (self.load[be] + 1) * self.warm[Tier.CACHE].cold.routers / self._link(be))
+        shared = self._shared(be)
         return now + own * shared * PACE_MARGIN <= flight.came + self._target(flight)
 
+    def _shared(self, be: int) -> float:
+        """By how much one more transfer from a cache is slowed; the location's other routers do as we do."""
+        return max(1.0, (self.load[be] * self.warm[Tier.CACHE].cold.routers + 1) / self._link(be))
+
     def _link(self, at: int) -> float:
         return self.roster.be[at].rating if self.rated else LINK_GUESS
 
