Ask caches for what they hold first while fills are in trouble; busy by the link

While several fills were late or failed in the last seconds, caches are asked for what they hold, two at most, and known misses are filled up to a limit that falls with late fills and grows with timely ones. Covers slow, refusing, lost sources, a full link, and scans. Could harm when late fills are chance; it takes three and fades in a second.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -2,15 +2,16 @@
 
 One Router per instance.  Ask it three things: route(req, now) where a req goes, after(req, outcome, now)
 what follows a dispatch, wait(now) how long until it wants to be asked again.  Tell it what happens: heard()
-the cache list, purged(), probed(), begun() a streamed answer, left() a client.  A Hold is asked again through
-route().
+the cache list, purged(), probed(), begun() a streamed answer, left() a client.  A Hold is asked by route().
 """
 
 import logging
+import math
 import zlib
 from collections import OrderedDict, deque
 from dataclasses import replace
 from hashlib import blake2b
+from typing import NamedTuple
 
 from quartzrouter.interface import (
     Abort, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Req, State, Tier, Told,
@@ -21,12 +22,14 @@
 
 MS = 1_000  # us
 S = 1_000_000  # us
-BUSY_AT = 8  # reqs outstanding; the design's start
+BUSY_AT = 1.0  # reqs outstanding over what the cache's link carries, this router's share: it is just full
+BUSY_LEAST = 2  # reqs outstanding; one alone says nothing of load
 BUSY_AFTER_FULL = 1 * S  # the design's: a refusal speaks of a queue that takes about that long to drain
+SOURCE_AFTER_FULL = 250 * MS  # a parent or the origin has no second to take its place: soon tried again
 QUIET = 10 * S  # the design's start: a walk length unchanged for so long drops by one
 WALKS = 8_192  # entries; the paper asks for far more than there are caches
 ORDERS = 16_384  # objects whose hash order is kept; some MB
-CROWDED_AT = 32  # reqs naming one parent; most are hits that never reach it, so a few times BUSY_AT
+CROWDED_AT = 32  # reqs naming one parent; most are hits that never reach it
 ANSWER_MARGIN = 6 * MS  # final answers come this long before the client timeout: a few batches
 REPEAT_MARGIN = 50 * MS  # a repeat is sent this long before its key is forgotten: several network delays
 ERRORS_OUT = 3  # errors before a server is judged: fewer are chance
@@ -37,32 +40,46 @@
 TRUSTED_AFTER = 4  # good answers on trial
 PROBE_EVERY = 500 * MS  # of what is out for not being reached: cheap beside the reqs it saves
 COLD_SHARE = 0.6  # of a cold budget that is used: sizes clump, and other routers' shares may too
+FILLS_START, FILLS_LEAST, FILLS_MOST = 16.0, 2.0, 64.0  # known misses being filled at once while in trouble
+FILLS_LATE = 3.0  # late or failed fills that make trouble: fewer are chance
+LOOKS = 2  # caches asked for what they hold before a fill, while in trouble: further copies are fewer
+FILL_FADE = 1 * S  # such a fill counts half after this time, so that trouble ends soon after its cause
+FILL_CUT, FILL_CUT_EVERY = 0.85, 100 * MS  # the limit falls by so much at most so often: a round trip's time
 PACE_MARGIN = 1.2  # more will come while a req is sent
 LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
 HOLD = 20 * MS  # until a held req is asked again: short beside any target
 RETRY_RATE = 0.3  # further dispatches for each first one in the long run: no storm of our own
 RETRY_BURST = 20.0  # further dispatches that may come at once, for a server that dies full of reqs
-BINS = tuple(round(4 * MS * 1.5**n) for n in range(22))  # 4 ms to 20 s, in steps of half as much again
+BINS = 36  # of a histogram
+STEP = 1.3  # from one bin to the next: finer than the spread of what is measured
+MEASURED = 400  # samples; then all bins are halved: some tens of seconds
+FEW = 12  # samples; below that a default stands
+EASY = 2.0  # slowed by no more than this, a cache is not to blame for a late answer
+LINK_SEEN = 0.8  # quantile of the transfers that a link was seen to carry: most are seen below its limit
 
 
 class Histogram:
-    """A few coarse bins, halved from time to time."""
+    """A few coarse bins, each STEP wider than the one before, halved from time to time."""
 
-    def __init__(self, keep: int = 400):
-        self.keep, self.bins, self.count, self.total = keep, [0] * len(BINS), 0, 0
+    def __init__(self, first: float):
+        self.first, self.bins = first, [0] * BINS
 
-    def add(self, value: int) -> None:
-        at = next((n for n, top in enumerate(BINS) if value < top), len(BINS) - 1)
-        self.bins[at] += 1
-        self.count += 1
-        if self.count >= self.keep:
+    def add(self, value: float) -> None:
+        self.bins[min(BINS - 1, max(0, int(math.log(max(value, self.first) / self.first, STEP))))] += 1
+        if sum(self.bins) >= MEASURED:
             self.bins = [n // 2 for n in self.bins]
-            self.count = sum(self.bins)
 
-    def mean(self, default: int) -> int:
-        if self.count < 8:
+    def mean(self, default: float) -> float:
+        count = sum(self.bins)
+        total = sum(n * self.first * STEP ** (at + 0.5) for at, n in enumerate(self.bins))
+        return total / count if count >= FEW else default
+
+    def quantile(self, share: float, default: float) -> float:
+        left = sum(self.bins) * share
+        if sum(self.bins) < FEW:
             return default
-        return sum(n * top for n, top in zip(self.bins, BINS, strict=True)) * 5 // (6 * self.count)
+        at = next(at for at in range(BINS) if sum(self.bins[: at + 1]) >= left)
+        return self.first * STEP ** (at + 0.5)
 
 
 class Roster:
@@ -73,9 +90,7 @@
         self.index: dict[str, int] = {}
         self.be: list[Listed] = []
         self.started: list[int] = []  # the last known start, listed or seen
-        self.caches: list[int] = []
-        self.parents: list[int] = []  # all that are listed, drained or not: an object's order stays
-        self.origins: list[int] = []
+        self.peers: dict[Tier, list[int]] = {tier: [] for tier in Tier}  # parents: all listed, an order stays
 
     def hear(self, lines: list[Listed], whole: bool) -> list[int]:
         """Takes in the list or changes to it; returns what has started anew."""
@@ -83,8 +98,7 @@
         for line in lines:
             at = self.index.setdefault(line.name, len(self.be))
             if at == len(self.be):
-                self.be.append(line)
-                self.started.append(0)
+                self.be, self.started = [*self.be, line], [*self.started, 0]
             elif line.state != self.be[at].state:
                 log.info("%s is %s", line.name, line.state.value)
             self.be[at] = line
@@ -96,15 +110,13 @@
             if whole and be.name not in named:
                 self.be[at] = replace(be, state=State.GONE)
         listed = [at for at, be in enumerate(self.be) if be.state != State.GONE]
-        tiers = {tier: [n for n in listed if self.be[n].tier == tier] for tier in Tier}
-        self.caches = [n for n in tiers[Tier.CACHE] if self.be[n].location == self.home and self.up(n)]
-        self.parents = tiers[Tier.PARENT]
-        self.origins = [n for n in tiers[Tier.ORIGIN] if self.up(n)]
+        for tier in Tier:
+            self.peers[tier] = [
+                n for n in listed if self.be[n].tier is tier and (tier is Tier.PARENT or self.up(n))
+            ]
+        self.peers[Tier.CACHE] = [n for n in self.peers[Tier.CACHE] if self.be[n].location == self.home]
         return fresh
 
-    def peers(self, tier: Tier) -> list[int]:
-        return {Tier.CACHE: self.caches, Tier.PARENT: self.parents, Tier.ORIGIN: self.origins}[tier]
-
     def up(self, at: int) -> bool:
         return self.be[at].state == State.UP
 
@@ -112,30 +124,27 @@
 class Walk:
     """The design's pick: hash order, walk-length table, least loaded of the top ones (paper, 3.4.2)."""
 
-    def __init__(self, busy_at: int, quiet: int, size: int):
-        self.busy_at, self.quiet = busy_at, quiet
+    def __init__(self, quiet: int, size: int):
+        self.quiet = quiet
         self.table = [(1, 0)] * size  # walk length, last change
         self.orders: OrderedDict[tuple[str, bool], list[int]] = OrderedDict()
 
     def order(self, obj: str, among: list[int], roster: Roster, parents: bool) -> list[int]:
-        found = self.orders.get((obj, parents))
-        if found is None:
-
-            def height(at: int) -> bytes:
-                return blake2b(f"{obj}\0{roster.be[at].name}".encode(), digest_size=8).digest()
-
-            found = self.orders[obj, parents] = sorted(among, key=height, reverse=True)
+        if (obj, parents) not in self.orders:
+            names = {at: f"{obj}\0{roster.be[at].name}".encode() for at in among}
+            heights = {at: blake2b(name, digest_size=8).digest() for at, name in names.items()}
+            self.orders[obj, parents] = sorted(among, key=heights.__getitem__, reverse=True)
             if len(self.orders) > ORDERS:
                 self.orders.popitem(last=False)
-        return found
+        return self.orders[obj, parents]
 
-    def pick(self, obj: str, order: list[int], load: list[int], full, now: int) -> int:
+    def pick(self, obj: str, order: list[int], load: list[int], busy, now: int) -> int:
         slot = zlib.crc32(obj.encode()) % len(self.table)
         length, changed = self.table[slot]
         best = min(order[:length], key=lambda at: load[at])  # the first of equals: the higher hash
         steps = length
-        if load[best] >= self.busy_at or full(best):
-            free = ((n, at) for n, at in enumerate(order, 1) if load[at] < self.busy_at and not full(at))
+        if busy(best):
+            free = ((n, at) for n, at in enumerate(order, 1) if not busy(at))
             steps, best = next(free, (len(order), order[0]))
         elif length > 1 and now - changed > self.quiet:
             steps = length - 1
@@ -157,18 +166,19 @@
         if not started or age >= cold.ramp:
             return True
         can = link * (cold.floor + (1 - cold.floor) * max(0, age) / cold.ramp)
-        spent = self.sent.setdefault(at, deque())
-        while spent and spent[0][0] <= now - cold.window:
-            spent.popleft()
         budget = can * cold.multiple * cold.window * self.share / cold.routers
-        return sum(w for _, w in spent) + weight <= budget
+        return sum(w for _, w in self.lately(at, now)) + weight <= budget
 
     def spend(self, at: int, weight: int, now: int) -> list[int]:
+        spent = self.lately(at, now)
+        spent.append([now, weight])
+        return spent[-1]
+
+    def lately(self, at: int, now: int) -> deque[list[int]]:
         spent = self.sent.setdefault(at, deque())
         while spent and spent[0][0] <= now - self.cold.window:
             spent.popleft()
-        spent.append([now, weight])
-        return spent[-1]
+        return spent
 
 
 class Purges:
@@ -241,8 +251,8 @@
         self.marks[at] = [0, 0]
         log.info("%s is out, for the %d. time in a row", name, times)
 
-    def refused(self, at: int, now: int) -> None:
-        self.full[at] = now + BUSY_AFTER_FULL
+    def refused(self, at: int, until: int) -> None:
+        self.full[at] = until
 
     def is_full(self, at: int, now: int) -> bool:
         return self.full.get(at, 0) > now
@@ -277,7 +287,45 @@
         for at in parents:
             if naming[at] < self.crowded_at and usable(at):
                 return at
-        return next((at for at in origins if usable(at)), origins[0] if origins else None)
+        return next((at for at in origins if usable(at)), None)
+
+
+class Fills:
+    """The way that fills take: the location's link, parents, origin.  While it is in trouble, caches are
+    asked for what they hold first, and of what they lack only so much is filled as comes in time.
+
+    Covers a slow, refusing or lost source and a full link, whatever the cause: hits stay served.  Could
+    harm when a few late fills are chance: so trouble takes several and fades in a second or two.
+    """
+
+    def __init__(self, start: float, least: float, most: float):
+        self.least, self.most, self.limit = least, most, start
+        self.out, self.bad, self.since, self.cut = 0, 0.0, 0, 0
+
+    def lately(self, now: int) -> float:
+        return self.bad * 0.5 ** ((now - self.since) / FILL_FADE)
+
+    def troubled(self, now: int) -> bool:
+        return self.lately(now) >= FILLS_LATE
+
+    def failed(self, now: int) -> None:
+        self.bad, self.since = min(4 * FILLS_LATE, self.lately(now) + 1), now
+        if now >= self.cut:
+            self.limit, self.cut = max(self.least, self.limit * FILL_CUT), now + FILL_CUT_EVERY
+
+    def came(self) -> None:
+        self.limit = min(self.most, self.limit + 1 / self.limit)
+
+
+class Sent(NamedTuple):
+    """A dispatch that is out."""
+
+    be: int
+    source: int
+    at: int
+    cold: list[int] | None  # the source's cold budget
+    shared: float  # how many others it was expected to share the cache's link with
+    miss: bool  # the cache is known to lack the object
 
 
 class Flight:
@@ -288,7 +336,8 @@
         self.deadline = now + req.timeout - ANSWER_MARGIN
         self.hops = 0
         self.over = self.streaming = False
-        self.out: dict[int, tuple] = {}  # hop: cache, source, sent, the source's cold budget
+        self.out: dict[int, Sent] = {}
+        self.lacking: set[int] = set()  # caches that were asked for what they hold, and hold nothing
         self.avoid: set[int] = set()  # what has failed this req
         self.ran: tuple[int, Listed] | None = None  # the first dispatch that may have run: when, where
 
@@ -299,31 +348,34 @@
     def __init__(self, most: int, rate: float, burst: float):
         self.most, self.rate, self.burst, self.tokens = most, rate, burst, burst
 
+    @staticmethod
+    def bound(flight: Flight) -> bool:
+        """It may have run, and may not simply run again."""
+        return flight.ran is not None and flight.vhost.effect is not Effect.REPLAYABLE
+
     def may_send(self, flight: Flight, now: int) -> bool:
-        if flight.over or flight.streaming or flight.out:
-            return False
-        if flight.hops >= self.most or now >= flight.deadline:
+        if (
+            flight.over
+            or flight.streaming
+            or flight.out
+            or flight.hops >= self.most
+            or now >= flight.deadline
+        ):
             return False
-        if flight.ran is None or flight.vhost.effect is Effect.REPLAYABLE:
+        if not self.bound(flight):
             return True
         left = flight.ran[0] + flight.vhost.repeats_for - REPEAT_MARGIN - now
         return flight.vhost.effect is Effect.UNIQUED and left > 0
 
     def may_reach(self, flight: Flight, be: Listed) -> bool:
-        if (
-            flight.ran is None
-            or flight.vhost.effect is Effect.REPLAYABLE
-            or flight.vhost.repeats_within == "all"
-        ):
+        if not self.bound(flight) or flight.vhost.repeats_within == "all":
             return True
-        if flight.vhost.repeats_within == "zone":
-            return be.location == flight.ran[1].location
-        return be.location == flight.ran[1].location and be.cell == flight.ran[1].cell
+        near = be.location == flight.ran[1].location
+        return near and (flight.vhost.repeats_within == "zone" or be.cell == flight.ran[1].cell)
 
     def may_deny(self, flight: Flight) -> bool:
-        if flight.ran is None or flight.vhost.effect is Effect.REPLAYABLE:
-            return True
-        return flight.vhost.effect is Effect.UNIQUED and flight.vhost.repeats_within == "all"
+        known = flight.vhost.effect is Effect.UNIQUED and flight.vhost.repeats_within == "all"
+        return known or not self.bound(flight)
 
     def pay(self, flight: Flight) -> bool:
         if not flight.hops:
@@ -343,13 +395,15 @@
         self.me, self.seed, self.draws = me, seed, 0
         self.permits, self.pace, self.rated = permits, pace, rated
         self.vhosts = {vhost.name: vhost for vhost in vhosts}
-        self.sending = {vhost.name: Histogram() for vhost in vhosts}
+        self.sending = {vhost.name: Histogram(4 * MS) for vhost in vhosts}
+        self.links: dict[str, Histogram] = {}  # by kind: transfers that a cache's link was seen to carry
         self.roster = Roster(home)
-        self.walk = Walk(BUSY_AT, QUIET, WALKS)
+        self.walk = Walk(QUIET, WALKS)
         self.sources = Sources(CROWDED_AT)
         self.warm = {Tier.CACHE: WarmUp(cold_cache, COLD_SHARE), Tier.PARENT: WarmUp(cold_parent, COLD_SHARE)}
         self.purges = Purges(purge_life)
         self.health = Health(self._chance)
+        self.fills = Fills(FILLS_START, FILLS_LEAST, FILLS_MOST)
         self.retries = Retries(permits.dispatches, RETRY_RATE, RETRY_BURST)
         self.flights: dict[int, Flight] = {}
         self.load: list[int] = []  # reqs outstanding, by server
@@ -357,8 +411,6 @@
         self.seen: tuple[set, set] = (set(), set())  # objects asked for lately, and before that
         self.subscribe_at = 0 if permits.subscribe else None
 
-    # -- telling ---------------------------------------------------------------------------------------
-
     def heard(self, lines: list[Listed], whole: bool, now: int) -> None:
         for at in self.roster.hear(lines, whole):
             self.health.strikes.pop(at, None)
@@ -392,28 +444,26 @@
         self._end(flight)
         return next(iter(flight.out), None) if self.permits.call_off and not flight.streaming else None
 
-    # -- asking ----------------------------------------------------------------------------------------
-
     def route(self, req: Req, now: int) -> Dispatch | Hold | Deny | Abort | None:
         flight = self.flights.get(req.id)
         if flight is None:
             flight = self.flights[req.id] = Flight(req, self.vhosts.get(req.vhost), now)
             if flight.vhost and req.size_kb and self.pace:
-                self.sending[req.vhost].add(int(req.size_kb / self.pace * S))
+                self.sending[req.vhost].add(req.size_kb / self.pace * S)
         return None if flight.over or flight.out else self._next(flight, now)
 
     def after(self, req_id: int, outcome: Outcome, now: int) -> Dispatch | Hold | Deny | Abort | None:
         flight = self.flights.get(req_id)
         if flight is None or outcome.hop not in flight.out:
             return None
-        at, source, sent, cold, shared = flight.out.pop(outcome.hop)
-        self.load[at] -= 1
-        self.naming[source] -= source != at
-        if outcome.told is Told.HIT and not flight.req.size_kb:
-            self.sending[flight.req.vhost].add(int(outcome.elapsed / shared))
-        self._judge(flight, at, source, cold, outcome, now)
+        sent = flight.out.pop(outcome.hop)
+        self.load[sent.be] -= 1
+        self.naming[sent.source] -= sent.source != sent.be
+        self.fills.out -= sent.miss
+        self._measure(flight, sent, outcome, now)
+        self._judge(flight, sent, outcome, now)
         if not outcome.ending.never_ran and flight.ran is None:
-            flight.ran = (sent, self.roster.be[at])
+            flight.ran = (sent.at, self.roster.be[sent.be])
         if flight.over or outcome.over or outcome.ending is Ending.DONE:
             self._end(flight)
             return None
@@ -426,40 +476,43 @@
             self.subscribe_at = None
         return Wait(PROBE_EVERY // 2, tuple(self.roster.be[at].name for at in probes), subscribe)
 
-    # -- deciding --------------------------------------------------------------------------------------
-
     def _next(self, flight: Flight, now: int) -> Dispatch | Hold | Deny | Abort:
         if flight.vhost is None or not self.retries.may_send(flight, now):
             return self._give_up(flight)
-        roster, obj, weight = self.roster, flight.req.obj, self._weight(flight.vhost)
-        order = self.walk.order(obj, roster.parents, roster, True)
-        parents = [at for at in order if roster.up(at) and at not in flight.avoid]
-        origins = [at for at in roster.origins if at not in flight.avoid] or roster.origins
-        if flight.vhost.never_kept:
-            parents = []
+        roster, kept, weight = self.roster, not flight.vhost.never_kept, self._weight(flight.vhost)
+        parents = self.walk.order(flight.req.obj, roster.peers[Tier.PARENT], roster, True) if kept else []
+        parents = [at for at in parents if roster.up(at) and at not in flight.avoid]
+        origins = roster.peers[Tier.ORIGIN]
         source = self.sources.pick(parents, origins, self.naming, lambda at: self._source_ok(at, weight, now))
-        if flight.vhost.never_kept and self.permits.pass_through and source is not None:
-            be = source if self.retries.may_reach(flight, roster.be[source]) else None
-        else:
-            able = [at for at in roster.caches if self.retries.may_reach(flight, roster.be[at])]
-            fit = [at for at in able if self.health.usable(at, self.load[at], now)] or able
-            fit = [at for at in fit if at not in flight.avoid] or fit
-            fit = [at for at in fit if self._warm(at, weight, now)]
-            keep = set(fit)
-            order = [at for at in self.walk.order(obj, roster.caches, roster, False) if at in keep]
-            be = None
-            if order:
-                be = self.walk.pick(obj, order, self.load, lambda at: self.health.is_full(at, now), now)
-            elif self.permits.pass_through and flight.ran is None:
-                be = source  # every cache is out or cold to its limit: a parent or the origin answers
-        if be is None:
+        order, be = self._eligible(flight, weight, now), None
+        if not kept and self.permits.pass_through:
+            be = source if source is not None and self.retries.may_reach(flight, roster.be[source]) else None
+        elif order:
+            be = self.walk.pick(flight.req.obj, order, self.load, lambda at: self._busy(at, now), now)
+        elif self.permits.pass_through and flight.ran is None:
+            be = source  # every cache is out or cold to its limit: a parent or the origin answers
+        if be is None or (source is None and (not kept or be in flight.lacking)):
             return self._hold(flight, now)
         if not self._in_time(flight, be, now):
             return self._give_up(flight)
-        if not self.retries.pay(flight):
+        if kept and be in order and self.fills.troubled(now):
+            unasked = [at for at in order if at not in flight.lacking]
+            if unasked and len(flight.lacking) < LOOKS and flight.hops + 2 <= self.permits.dispatches:
+                be = source = be if be in unasked else unasked[0]
+            elif self.fills.out >= self.fills.limit:
+                return self._hold(flight, now)
+        if not flight.lacking and not self.retries.pay(flight):
             return self._give_up(flight)
         return self._dispatch(flight, be, be if source is None else source, weight, now)
 
+    def _eligible(self, flight: Flight, weight: int, now: int) -> list[int]:
+        """The location's caches in the object's order, without those that a guard rules out."""
+        order = self.walk.order(flight.req.obj, self.roster.peers[Tier.CACHE], self.roster, False)
+        able = [at for at in order if self.retries.may_reach(flight, self.roster.be[at])]
+        fit = [at for at in able if self.health.usable(at, self.load[at], now)] or able
+        fit = [at for at in fit if at not in flight.avoid] or fit
+        return [at for at in fit if self._warm(at, weight, now)]
+
     def _dispatch(self, flight: Flight, be: int, source: int, weight: int, now: int) -> Dispatch:
         req, vhost, roster = flight.req, flight.vhost, self.roster
         if roster.be[be].tier is Tier.CACHE:
@@ -467,30 +520,53 @@
         cold = None
         if roster.be[source].tier is Tier.PARENT:
             cold = self.warm[Tier.PARENT].spend(source, weight, now)
-        if source == be and roster.be[be].tier is Tier.PARENT and roster.origins:
-            source = roster.origins[0]
+        if source == be and roster.be[be].tier is Tier.PARENT and roster.peers[Tier.ORIGIN]:
+            source = roster.peers[Tier.ORIGIN][0]
         hop, flight.hops = flight.hops, flight.hops + 1
-        flight.out[hop] = (be, source, now, cold, self._shared(be))
+        flight.out[hop] = Sent(be, source, now, cold, self._shared(be), be in flight.lacking)
+        self.fills.out += be in flight.lacking
         self.load[be] += 1
         self.naming[source] += source != be
         usual = vhost.fresh_for
-        if usual and flight.avoid:
-            usual += vhost.grace_for  # a source has failed this req: an old copy is better than none
+        if usual and (flight.avoid or self.fills.troubled(now)):
+            usual += vhost.grace_for  # an old copy is better than none
         oldest = self.purges.oldest(req.group, req.obj, usual, now)
         rank = 0 if vhost.never_kept else self._rank(req)
         timeout = max(1, flight.deadline - now)
         names = roster.be[be].name, roster.be[source].name
         return Dispatch(hop, *names, rank, oldest, self.permits.joins, bool(vhost.fresh_for), timeout)
 
-    def _judge(self, flight: Flight, at: int, source: int, cold, outcome: Outcome, now: int) -> None:
+    def _measure(self, flight: Flight, sent: Sent, outcome: Outcome, now: int) -> None:
+        ending, told = outcome.ending, outcome.told
+        if ending is Ending.DONE and told in (Told.HIT, Told.NOTHING) and flight.req.size_kb:
+            link = self.links.setdefault(self.roster.be[sent.be].kind, Histogram(1.0))
+            pace = min(1.0, self._own(flight) / max(1, outcome.elapsed))
+            link.add(sent.shared * self._link(sent.be) * pace)
+        elif ending is Ending.DONE and told is Told.HIT:
+            self.sending[flight.req.vhost].add(outcome.elapsed / max(1.0, sent.shared))
+        if sent.source == sent.be or told is Told.HIT or self.roster.be[sent.be].tier is not Tier.CACHE:
+            return
+        filled = sent.miss or told is not Told.NOTHING
+        if ending is Ending.DONE and outcome.elapsed <= self._target(flight):
+            if filled:
+                self.fills.came()
+            return
+        late = ending in (Ending.DONE, Ending.LATE) and (filled or sent.shared < EASY)
+        if late or told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.NO_PLACE, Told.ORIGIN_LOST):
+            self.fills.failed(now)
+
+    def _judge(self, flight: Flight, sent: Sent, outcome: Outcome, now: int) -> None:
         """Which side failed, where the answer tells; else both are marked, and peers tell them apart."""
-        ending, told, roster = outcome.ending, outcome.told, self.roster
+        ending, told, roster, at, source = outcome.ending, outcome.told, self.roster, sent.be, sent.source
         if ending is Ending.DONE:
             self.health.good(at)
             if told in (Told.FILLED, Told.FROM_ORIGIN) or (told is Told.NOTHING and source != at):
                 self.health.good(source)
-            if told is Told.HIT and cold:
-                cold[1] = 0  # it never reached the parent
+            if told is Told.HIT and sent.cold:
+                sent.cold[1] = 0  # it never reached the parent
+            return
+        if ending is Ending.LACKING and source == at:
+            flight.lacking.add(at)
             return
         if ending in (Ending.CALLED_OFF, Ending.UNSENT):
             return
@@ -498,19 +574,18 @@
         if told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.SOURCE_LACKS):
             blamed = {source}
         elif told is Told.ORIGIN_LOST:
-            blamed = set(roster.origins)
+            blamed = set(roster.peers[Tier.ORIGIN])
         elif told is Told.NOTHING and ending is Ending.ERROR:
             blamed = {at, source}
         flight.avoid |= blamed
         if ending is Ending.FULL:
             for n in blamed:
-                self.health.refused(n, now)
+                cache = roster.be[n].tier is Tier.CACHE
+                self.health.refused(n, now + (BUSY_AFTER_FULL if cache else SOURCE_AFTER_FULL))
         elif ending is not Ending.LACKING:
             for n in sorted(blamed):
-                be = roster.be[n]
-                self.health.bad(
-                    n, roster.peers(be.tier), now, be.name, ending is Ending.NO_CONNECTION and n == at
-                )
+                lost, be = ending is Ending.NO_CONNECTION and n == at, roster.be[n]
+                self.health.bad(n, roster.peers[be.tier], now, be.name, lost)
 
     def _give_up(self, flight: Flight) -> Deny | Abort:
         self._end(flight)
@@ -528,38 +603,44 @@
         if not flight.out:
             self.flights.pop(flight.req.id, None)
 
-    # -- weighing --------------------------------------------------------------------------------------
-
     def _chance(self, below: int) -> int:
         self.draws += 1
         return zlib.crc32(f"{self.me}/{self.seed}/{self.draws}".encode()) % max(1, below)
 
     def _weight(self, vhost: VHost) -> int:
-        return self.sending[vhost.name].mean(vhost.first_byte_target)
+        return int(self.sending[vhost.name].mean(vhost.first_byte_target))
+
+    def _own(self, flight: Flight) -> float:
+        """The sending time of a req at full pace."""
+        if flight.req.size_kb and self.pace:
+            return flight.req.size_kb / self.pace * S
+        return self._weight(flight.vhost)
 
     def _target(self, flight: Flight) -> int:
-        own = int(flight.req.size_kb / self.pace * S) if self.pace else 0
-        stretch = flight.vhost.target_stretch * (own or self._weight(flight.vhost))
-        return int(flight.vhost.first_byte_target + stretch)
+        return int(flight.vhost.first_byte_target + flight.vhost.target_stretch * self._own(flight))
 
     def _in_time(self, flight: Flight, be: int, now: int) -> bool:
         """Work that cannot meet its first-byte target is not begun: it would only make others late as well.
 
         Covers bursts, overload, retry storms and slow caches; could harm where the link is better than told.
         """
-        if self.roster.be[be].tier is not Tier.CACHE:
-            return True
-        own = int(flight.req.size_kb / self.pace * S) if self.pace else 0
-        own = own or self._weight(flight.vhost)
-        shared = self._shared(be)
-        return now + own * shared * PACE_MARGIN <= flight.came + self._target(flight)
+        cache = self.roster.be[be].tier is Tier.CACHE
+        takes = self._own(flight) * (max(1.0, self._shared(be)) * PACE_MARGIN if cache else 1.0)
+        return now + takes <= flight.came + self._target(flight)
+
+    def _busy(self, be: int, now: int) -> bool:
+        limit = max(BUSY_LEAST, BUSY_AT * self._link(be) / self.warm[Tier.CACHE].cold.routers)
+        return self.load[be] >= limit or self.health.is_full(be, now)
 
     def _shared(self, be: int) -> float:
         """By how much one more transfer from a cache is slowed; the location's other routers do as we do."""
-        return max(1.0, (self.load[be] * self.warm[Tier.CACHE].cold.routers + 1) / self._link(be))
+        return (self.load[be] * self.warm[Tier.CACHE].cold.routers + 1) / self._link(be)
 
     def _link(self, at: int) -> float:
-        return self.roster.be[at].rating if self.rated else LINK_GUESS
+        if self.rated:
+            return self.roster.be[at].rating
+        seen = self.links.get(self.roster.be[at].kind)
+        return seen.quantile(LINK_SEEN, LINK_GUESS) if seen else LINK_GUESS
 
     def _warm(self, at: int, weight: int, now: int) -> bool:
         warm = self.warm.get(self.roster.be[at].tier)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -74,6 +74,7 @@
 def test_an_effect_never_runs_twice(drive):
     drive.req(0, "vote")
     drive.end(0, Ending.FULL)
+    drive.pass_(300)
     drive.ask(0)
     drive.end(0, Ending.LATE)
     drive.req(1, "vote")
@@ -103,3 +104,20 @@
         drive.req(n, "clip", "a", kb=500, quiet=True)
     drive.req(30, "clip", "a", kb=500)
     drive.req(31, "page", "a", kb=20)
+
+
+def test_in_fill_trouble_caches_are_asked_for_what_they_hold_first(drive):
+    for n in range(3):
+        drive.req(n, "clip", "abc"[n])
+        drive.pass_(1_500)
+        drive.end(n, Ending.DONE, Told.FILLED, elapsed=1_500, quiet=True)
+        drive.pass_(-1_450)
+    drive.req(10, "page", "d")
+    drive.end(10, Ending.LACKING)
+    drive.end(10, Ending.LACKING)
+    drive.router.fills.out = 99
+    drive.req(11, "page", "e")
+    drive.end(11, Ending.LACKING)
+    drive.end(11, Ending.LACKING)
+    drive.pass_(3_000)
+    drive.req(12, "page", "f")
