Walk on from a cache that cannot meet the target, while the location has room

Danger met: denials beside idle caches. Covers uneven hash shares and hot objects; could harm by extra copies, so it rests while fills are in trouble or the location is full.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -22,7 +22,9 @@
 
 MS = 1_000  # us
 S = 1_000_000  # us
-BUSY_AT = 1.0  # reqs outstanding over what the cache's link carries, this router's share: it is just full
+BUSY_AT = (
+    2.5  # reqs outstanding over what the link carries, this router's share: targets leave about so much room
+)
 BUSY_LEAST = 2  # reqs outstanding; one alone says nothing of load
 BUSY_AFTER_FULL = 1 * S  # the design's: a refusal speaks of a queue that takes about that long to drain
 SOURCE_AFTER_FULL = 250 * MS  # a parent or the origin has no second to take its place: soon tried again
@@ -41,11 +43,12 @@
 PROBE_EVERY = 500 * MS  # of what is out for not being reached: cheap beside the reqs it saves
 COLD_SHARE = 0.6  # of a cold budget that is used: sizes clump, and other routers' shares may too
 FILLS_START, FILLS_LEAST, FILLS_MOST = 16.0, 2.0, 64.0  # known misses being filled at once while in trouble
-FILLS_LATE = 3.0  # late or failed fills that make trouble: fewer are chance
+FILLS_LATE = 2.0  # late or failed fills that make trouble: fewer are chance
 LOOKS = 2  # caches asked for what they hold before a fill, while in trouble: further copies are fewer
 FILL_FADE = 1 * S  # such a fill counts half after this time, so that trouble ends soon after its cause
 FILL_CUT, FILL_CUT_EVERY = 0.85, 100 * MS  # the limit falls by so much at most so often: a round trip's time
-PACE_MARGIN = 1.2  # more will come while a req is sent
+ROOM = 0.9  # reqs outstanding over what the location's links carry: above it, more copies only move the load
+PACE_MARGIN = 1.4  # more will come while a req is sent
 LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
 HOLD = 20 * MS  # until a held req is asked again: short beside any target
 RETRY_RATE = 0.3  # further dispatches for each first one in the long run: no storm of our own
@@ -215,7 +218,7 @@
         self.out: dict[int, int] = {}  # until when
         self.strikes: dict[int, int] = {}
         self.unreached: dict[int, int] = {}  # when a connection last failed
-        self.full: dict[int, int] = {}
+        self.full: dict[int, int] = {}  # refused lately: until when that counts
         self.probe_at: dict[int, int] = {}
 
     def good(self, at: int) -> None:
@@ -251,9 +254,6 @@
         self.marks[at] = [0, 0]
         log.info("%s is out, for the %d. time in a row", name, times)
 
-    def refused(self, at: int, until: int) -> None:
-        self.full[at] = until
-
     def is_full(self, at: int, now: int) -> bool:
         return self.full.get(at, 0) > now
 
@@ -294,8 +294,8 @@
     """The way that fills take: the location's link, parents, origin.  While it is in trouble, caches are
     asked for what they hold first, and of what they lack only so much is filled as comes in time.
 
-    Covers a slow, refusing or lost source and a full link, whatever the cause: hits stay served.  Could
-    harm when a few late fills are chance: so trouble takes several and fades in a second or two.
+    Covers a slow, refusing or lost source and a full link: hits stay served.  Could harm when late fills
+    are chance: so trouble takes several and fades in a second or two.
     """
 
     def __init__(self, start: float, least: float, most: float):
@@ -334,7 +334,7 @@
     def __init__(self, req: Req, vhost: VHost | None, now: int):
         self.req, self.vhost, self.came = req, vhost, now
         self.deadline = now + req.timeout - ANSWER_MARGIN
-        self.hops = 0
+        self.hops = self.rank = 0
         self.over = self.streaming = False
         self.out: dict[int, Sent] = {}
         self.lacking: set[int] = set()  # caches that were asked for what they hold, and hold nothing
@@ -448,6 +448,7 @@
         flight = self.flights.get(req.id)
         if flight is None:
             flight = self.flights[req.id] = Flight(req, self.vhosts.get(req.vhost), now)
+            flight.rank = self._rank(req) if flight.vhost and not flight.vhost.never_kept else 0
             if flight.vhost and req.size_kb and self.pace:
                 self.sending[req.vhost].add(req.size_kb / self.pace * S)
         return None if flight.over or flight.out else self._next(flight, now)
@@ -472,8 +473,7 @@
     def wait(self, now: int) -> Wait:
         probes = self.health.due(now) if self.permits.probes else []
         subscribe = self.subscribe_at is not None and self.subscribe_at <= now
-        if subscribe:
-            self.subscribe_at = None
+        self.subscribe_at = None if subscribe else self.subscribe_at
         return Wait(PROBE_EVERY // 2, tuple(self.roster.be[at].name for at in probes), subscribe)
 
     def _next(self, flight: Flight, now: int) -> Dispatch | Hold | Deny | Abort:
@@ -488,7 +488,7 @@
         if not kept and self.permits.pass_through:
             be = source if source is not None and self.retries.may_reach(flight, roster.be[source]) else None
         elif order:
-            be = self.walk.pick(flight.req.obj, order, self.load, lambda at: self._busy(at, now), now)
+            be = self.walk.pick(flight.req.obj, order, self.load, lambda at: self._busy(flight, at, now), now)
         elif self.permits.pass_through and flight.ran is None:
             be = source  # every cache is out or cold to its limit: a parent or the origin answers
         if be is None or (source is None and (not kept or be in flight.lacking)):
@@ -527,32 +527,29 @@
         self.fills.out += be in flight.lacking
         self.load[be] += 1
         self.naming[source] += source != be
-        usual = vhost.fresh_for
-        if usual and (flight.avoid or self.fills.troubled(now)):
-            usual += vhost.grace_for  # an old copy is better than none
+        late = vhost.fresh_for and (flight.avoid or self.fills.troubled(now))
+        usual = vhost.fresh_for + (vhost.grace_for if late else 0)  # an old copy is better than none
         oldest = self.purges.oldest(req.group, req.obj, usual, now)
-        rank = 0 if vhost.never_kept else self._rank(req)
-        timeout = max(1, flight.deadline - now)
-        names = roster.be[be].name, roster.be[source].name
-        return Dispatch(hop, *names, rank, oldest, self.permits.joins, bool(vhost.fresh_for), timeout)
+        names, timeout = (roster.be[be].name, roster.be[source].name), max(1, flight.deadline - now)
+        return Dispatch(hop, *names, flight.rank, oldest, self.permits.joins, bool(vhost.fresh_for), timeout)
 
     def _measure(self, flight: Flight, sent: Sent, outcome: Outcome, now: int) -> None:
         ending, told = outcome.ending, outcome.told
         if ending is Ending.DONE and told in (Told.HIT, Told.NOTHING) and flight.req.size_kb:
-            link = self.links.setdefault(self.roster.be[sent.be].kind, Histogram(1.0))
-            pace = min(1.0, self._own(flight) / max(1, outcome.elapsed))
-            link.add(sent.shared * self._link(sent.be) * pace)
+            seen = self.links.setdefault(self.roster.be[sent.be].kind, Histogram(1.0))
+            seen.add(
+                sent.shared * self._link(sent.be) * min(1.0, self._own(flight) / max(1, outcome.elapsed))
+            )
         elif ending is Ending.DONE and told is Told.HIT:
             self.sending[flight.req.vhost].add(outcome.elapsed / max(1.0, sent.shared))
         if sent.source == sent.be or told is Told.HIT or self.roster.be[sent.be].tier is not Tier.CACHE:
             return
         filled = sent.miss or told is not Told.NOTHING
-        if ending is Ending.DONE and outcome.elapsed <= self._target(flight):
-            if filled:
-                self.fills.came()
-            return
-        late = ending in (Ending.DONE, Ending.LATE) and (filled or sent.shared < EASY)
-        if late or told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.NO_PLACE, Told.ORIGIN_LOST):
+        timely = ending is Ending.DONE and outcome.elapsed <= self._target(flight)
+        late = ending in (Ending.DONE, Ending.LATE) and not timely and (filled or sent.shared < EASY)
+        if timely and filled:
+            self.fills.came()
+        elif late or told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.NO_PLACE, Told.ORIGIN_LOST):
             self.fills.failed(now)
 
     def _judge(self, flight: Flight, sent: Sent, outcome: Outcome, now: int) -> None:
@@ -567,8 +564,7 @@
             return
         if ending is Ending.LACKING and source == at:
             flight.lacking.add(at)
-            return
-        if ending in (Ending.CALLED_OFF, Ending.UNSENT):
+        if (ending is Ending.LACKING and source == at) or ending in (Ending.CALLED_OFF, Ending.UNSENT):
             return
         blamed = {at}
         if told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.SOURCE_LACKS):
@@ -581,7 +577,7 @@
         if ending is Ending.FULL:
             for n in blamed:
                 cache = roster.be[n].tier is Tier.CACHE
-                self.health.refused(n, now + (BUSY_AFTER_FULL if cache else SOURCE_AFTER_FULL))
+                self.health.full[n] = now + (BUSY_AFTER_FULL if cache else SOURCE_AFTER_FULL)
         elif ending is not Ending.LACKING:
             for n in sorted(blamed):
                 lost, be = ending is Ending.NO_CONNECTION and n == at, roster.be[n]
@@ -612,9 +608,8 @@
 
     def _own(self, flight: Flight) -> float:
         """The sending time of a req at full pace."""
-        if flight.req.size_kb and self.pace:
-            return flight.req.size_kb / self.pace * S
-        return self._weight(flight.vhost)
+        told = flight.req.size_kb and self.pace
+        return flight.req.size_kb / self.pace * S if told else self._weight(flight.vhost)
 
     def _target(self, flight: Flight) -> int:
         return int(flight.vhost.first_byte_target + flight.vhost.target_stretch * self._own(flight))
@@ -628,9 +623,15 @@
         takes = self._own(flight) * (max(1.0, self._shared(be)) * PACE_MARGIN if cache else 1.0)
         return now + takes <= flight.came + self._target(flight)
 
-    def _busy(self, be: int, now: int) -> bool:
+    def _busy(self, flight: Flight, be: int, now: int) -> bool:
         limit = max(BUSY_LEAST, BUSY_AT * self._link(be) / self.warm[Tier.CACHE].cold.routers)
-        return self.load[be] >= limit or self.health.is_full(be, now)
+        if self.load[be] >= limit or self.health.is_full(be, now):
+            return True
+        if self.fills.troubled(now) or self._in_time(flight, be, now):
+            return False
+        caches = self.roster.peers[Tier.CACHE]  # a copy more costs a fill: only while the location has room
+        loads, links = sum(self.load[at] for at in caches), sum(self._link(at) for at in caches)
+        return loads * self.warm[Tier.CACHE].cold.routers < ROOM * links
 
     def _shared(self, be: int) -> float:
         """By how much one more transfer from a cache is slowed; the location's other routers do as we do."""
@@ -639,17 +640,15 @@
     def _link(self, at: int) -> float:
         if self.rated:
             return self.roster.be[at].rating
-        seen = self.links.get(self.roster.be[at].kind)
-        return seen.quantile(LINK_SEEN, LINK_GUESS) if seen else LINK_GUESS
+        return self.links.setdefault(self.roster.be[at].kind, Histogram(1.0)).quantile(LINK_SEEN, LINK_GUESS)
 
     def _warm(self, at: int, weight: int, now: int) -> bool:
         warm = self.warm.get(self.roster.be[at].tier)
         return warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, now)
 
     def _source_ok(self, at: int, weight: int, now: int) -> bool:
-        if self.health.is_full(at, now) or not self.health.usable(at, self.naming[at], now):
-            return False
-        return self._warm(at, weight, now)
+        well = self.health.usable(at, self.naming[at], now) and not self.health.is_full(at, now)
+        return well and self._warm(at, weight, now)
 
     def _rank(self, req: Req) -> int:
         """A first look may be the only one: what is asked for again is kept before it."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -121,3 +121,8 @@
     drive.end(11, Ending.LACKING)
     drive.pass_(3_000)
     drive.req(12, "page", "f")
+
+
+def test_the_walk_goes_on_for_the_targets_sake_while_the_location_has_room(drive):
+    for n in range(14):
+        drive.req(n, "clip", "a", kb=1_000, quiet=n < 5)
