Time out at one and a half targets, and blame both sides of a dispatch that hangs

Other causes ruled out: no list change, plant-holds at the origin all served (so not the origin), every store alike (so not a cache). Danger met: whatever hangs, anywhere on the way; covers stalls and dead servers that do not refuse. Could harm where answers come late but would still earn a little; effects that may not repeat keep their full time.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -14,8 +14,8 @@
 from typing import NamedTuple
 
 from quartzrouter.interface import (
-    Abort, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Req, State, Tier, Told,
-    VHost, Wait,
+    Abort, Answer, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Req, State,
+    Tier, Told, VHost, Wait,
 )  # fmt: skip
 
 log = logging.getLogger(__name__)
@@ -50,13 +50,12 @@
 ROOM = 0.9  # reqs outstanding over what the location's links carry: above it, more copies only move the load
 PACE_MARGIN = 1.4  # more will come while a req is sent
 LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
+PATIENCE = 1.5  # of the target, for an answer: later ones earn little and hold places that others need
 HOLD = 20 * MS  # until a held req is asked again: short beside any target
 RETRY_RATE = 0.3  # further dispatches for each first one in the long run: no storm of our own
 RETRY_BURST = 20.0  # further dispatches that may come at once, for a server that dies full of reqs
-BINS = 36  # of a histogram
-STEP = 1.3  # from one bin to the next: finer than the spread of what is measured
-MEASURED = 400  # samples; then all bins are halved: some tens of seconds
-FEW = 12  # samples; below that a default stands
+BINS, STEP = 36, 1.3  # bins of a histogram, and their growth: finer than the spread of what is measured
+MEASURED, FEW = 400, 12  # samples: then bins are halved, some tens of seconds; below, a default stands
 EASY = 2.0  # slowed by no more than this, a cache is not to blame for a late answer
 LINK_SEEN = 0.8  # quantile of the transfers that a link was seen to carry: most are seen below its limit
 
@@ -254,9 +253,6 @@
         self.marks[at] = [0, 0]
         log.info("%s is out, for the %d. time in a row", name, times)
 
-    def is_full(self, at: int, now: int) -> bool:
-        return self.full.get(at, 0) > now
-
     def usable(self, at: int, outstanding: int, now: int) -> bool:
         """Not out; after an ejection one req at a time until one has come back well."""
         if self.out.get(at, 0) > now:
@@ -444,7 +440,7 @@
         self._end(flight)
         return next(iter(flight.out), None) if self.permits.call_off and not flight.streaming else None
 
-    def route(self, req: Req, now: int) -> Dispatch | Hold | Deny | Abort | None:
+    def route(self, req: Req, now: int) -> Answer | None:
         flight = self.flights.get(req.id)
         if flight is None:
             flight = self.flights[req.id] = Flight(req, self.vhosts.get(req.vhost), now)
@@ -453,7 +449,7 @@
                 self.sending[req.vhost].add(req.size_kb / self.pace * S)
         return None if flight.over or flight.out else self._next(flight, now)
 
-    def after(self, req_id: int, outcome: Outcome, now: int) -> Dispatch | Hold | Deny | Abort | None:
+    def after(self, req_id: int, outcome: Outcome, now: int) -> Answer | None:
         flight = self.flights.get(req_id)
         if flight is None or outcome.hop not in flight.out:
             return None
@@ -476,7 +472,7 @@
         self.subscribe_at = None if subscribe else self.subscribe_at
         return Wait(PROBE_EVERY // 2, tuple(self.roster.be[at].name for at in probes), subscribe)
 
-    def _next(self, flight: Flight, now: int) -> Dispatch | Hold | Deny | Abort:
+    def _next(self, flight: Flight, now: int) -> Answer:
         if flight.vhost is None or not self.retries.may_send(flight, now):
             return self._give_up(flight)
         roster, kept, weight = self.roster, not flight.vhost.never_kept, self._weight(flight.vhost)
@@ -530,7 +526,10 @@
         late = vhost.fresh_for and (flight.avoid or self.fills.troubled(now))
         usual = vhost.fresh_for + (vhost.grace_for if late else 0)  # an old copy is better than none
         oldest = self.purges.oldest(req.group, req.obj, usual, now)
-        names, timeout = (roster.be[be].name, roster.be[source].name), max(1, flight.deadline - now)
+        names, until = (roster.be[be].name, roster.be[source].name), flight.deadline
+        if vhost.effect is Effect.REPLAYABLE:  # what hangs is found out soon, and holds no place for long
+            until = min(until, flight.came + int(PATIENCE * self._target(flight)))
+        timeout = max(1, until - now)
         return Dispatch(hop, *names, flight.rank, oldest, self.permits.joins, bool(vhost.fresh_for), timeout)
 
     def _measure(self, flight: Flight, sent: Sent, outcome: Outcome, now: int) -> None:
@@ -571,8 +570,8 @@
             blamed = {source}
         elif told is Told.ORIGIN_LOST:
             blamed = set(roster.peers[Tier.ORIGIN])
-        elif told is Told.NOTHING and ending is Ending.ERROR:
-            blamed = {at, source}
+        elif told is Told.NOTHING and ending in (Ending.ERROR, Ending.LATE):
+            blamed = {source} if sent.miss and ending is Ending.LATE else {at, source}
         flight.avoid |= blamed
         if ending is Ending.FULL:
             for n in blamed:
@@ -625,7 +624,7 @@
 
     def _busy(self, flight: Flight, be: int, now: int) -> bool:
         limit = max(BUSY_LEAST, BUSY_AT * self._link(be) / self.warm[Tier.CACHE].cold.routers)
-        if self.load[be] >= limit or self.health.is_full(be, now):
+        if self.load[be] >= limit or self.health.full.get(be, 0) > now:
             return True
         if self.fills.troubled(now) or self._in_time(flight, be, now):
             return False
@@ -647,7 +646,7 @@
         return warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, now)
 
     def _source_ok(self, at: int, weight: int, now: int) -> bool:
-        well = self.health.usable(at, self.naming[at], now) and not self.health.is_full(at, now)
+        well = self.health.usable(at, self.naming[at], now) and self.health.full.get(at, 0) <= now
         return well and self._warm(at, weight, now)
 
     def _rank(self, req: Req) -> int:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -126,3 +126,10 @@
 def test_the_walk_goes_on_for_the_targets_sake_while_the_location_has_room(drive):
     for n in range(14):
         drive.req(n, "clip", "a", kb=1_000, quiet=n < 5)
+
+
+def test_a_parent_whose_fills_hang_is_left_after_a_few(drive):
+    for n in range(4):
+        drive.req(n, "clip", "a")
+        drive.pass_(1_400)
+        drive.end(n, Ending.LATE)
