--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -570,16 +570,14 @@
             blamed = {source}
         elif told is Told.ORIGIN_LOST:
             blamed = set(roster.peers[Tier.ORIGIN])
-        elif told is Told.NOTHING and ending in (Ending.ERROR, Ending.LATE):
+        elif told is Told.NOTHING and ending in (Ending.ERROR, Ending.LATE, Ending.FULL):
             blamed = {source} if sent.miss and ending is Ending.LATE else {at, source}
         flight.avoid |= blamed
-        if ending is Ending.FULL:
-            for n in blamed:
-                cache = roster.be[n].tier is Tier.CACHE
-                self.health.full[n] = now + (BUSY_AFTER_FULL if cache else SOURCE_AFTER_FULL)
-        elif ending is not Ending.LACKING:
-            for n in sorted(blamed):
-                lost, be = ending is Ending.NO_CONNECTION and n == at, roster.be[n]
+        for n in sorted(blamed):
+            lost, be = ending is Ending.NO_CONNECTION and n == at, roster.be[n]
+            if ending is Ending.FULL:
+                self.health.full[n] = now + (BUSY_AFTER_FULL if be.tier is Tier.CACHE else SOURCE_AFTER_FULL)
+            if ending is not Ending.LACKING and (ending is not Ending.FULL or be.tier is Tier.PARENT):
                 self.health.bad(n, roster.peers[be.tier], now, be.name, lost)
 
     def _give_up(self, flight: Flight) -> Deny | Abort:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -133,3 +133,12 @@
         drive.req(n, "clip", "a")
         drive.pass_(1_400)
         drive.end(n, Ending.LATE)
+
+
+def test_refusals_that_tell_nothing_put_out_the_parent_they_share(drive):
+    for n, obj in enumerate("abcdefghijkl"):
+        answer = drive.req(n, "clip", obj, quiet=n > 1)
+        if answer.source == "p2":
+            drive.pass_(300)
+            drive.end(n, Ending.FULL, quiet=n > 1)
+        drive.end(n, Ending.DONE, quiet=True)
