Limit known misses by source, so that a slow or flooded parent counts as crowded

Danger met: one source slower than the rest, for whatever cause; covers a lost, cold, flooded parent and a slow origin. Could harm by spreading an object's fills over parents while trouble lasts. The second look now comes before a req is held for want of a source.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -8,7 +8,7 @@
 import logging
 import math
 import zlib
-from collections import OrderedDict, deque
+from collections import OrderedDict, defaultdict, deque
 from dataclasses import replace
 from hashlib import blake2b
 from typing import NamedTuple
@@ -20,8 +20,7 @@
 
 log = logging.getLogger(__name__)
 
-MS = 1_000  # us
-S = 1_000_000  # us
+MS, S = 1_000, 1_000_000  # us
 BUSY_AT = (
     2.5  # reqs outstanding over what the link carries, this router's share: targets leave about so much room
 )
@@ -42,7 +41,7 @@
 TRUSTED_AFTER = 4  # good answers on trial
 PROBE_EVERY = 500 * MS  # of what is out for not being reached: cheap beside the reqs it saves
 COLD_SHARE = 0.6  # of a cold budget that is used: sizes clump, and other routers' shares may too
-FILLS_START, FILLS_LEAST, FILLS_MOST = 16.0, 2.0, 64.0  # known misses being filled at once while in trouble
+FILLS_START, FILLS_LEAST, FILLS_MOST = 16.0, 2.0, 64.0  # known misses that a source fills at once in trouble
 FILLS_LATE = 2.0  # late or failed fills that make trouble: fewer are chance
 LOOKS = 2  # caches asked for what they hold before a fill, while in trouble: further copies are fewer
 FILL_FADE = 1 * S  # such a fill counts half after this time, so that trouble ends soon after its cause
@@ -255,15 +254,13 @@
 
     def usable(self, at: int, outstanding: int, now: int) -> bool:
         """Not out; after an ejection one req at a time until one has come back well."""
-        if self.out.get(at, 0) > now:
-            return False
-        return not self.strikes.get(at) or outstanding == 0 or self.marks[at][0] > 0
+        tried = not self.strikes.get(at) or outstanding == 0 or self.marks[at][0] > 0
+        return tried and self.out.get(at, 0) <= now
 
     def probed(self, at: int, well: bool, now: int) -> bool:
         """A server that was not reached answers again: it is tried at once."""
         back = well and self.out.get(at, 0) > now and at in self.unreached
-        if back:
-            self.out[at] = now
+        self.out[at] = now if back else self.out.get(at, 0)
         return back
 
     def due(self, now: int) -> list[int]:
@@ -288,15 +285,17 @@
 
 class Fills:
     """The way that fills take: the location's link, parents, origin.  While it is in trouble, caches are
-    asked for what they hold first, and of what they lack only so much is filled as comes in time.
+    asked for what they hold first, and a source fills only so much of what they lack as comes in time.
 
     Covers a slow, refusing or lost source and a full link: hits stay served.  Could harm when late fills
     are chance: so trouble takes several and fades in a second or two.
     """
 
     def __init__(self, start: float, least: float, most: float):
-        self.least, self.most, self.limit = least, most, start
-        self.out, self.bad, self.since, self.cut = 0, 0.0, 0, 0
+        self.least, self.most, self.bad, self.since = least, most, 0.0, 0
+        self.limit: dict[int, float] = defaultdict(lambda: start)  # by source, as are the next two
+        self.out: dict[int, int] = defaultdict(int)
+        self.cut: dict[int, int] = defaultdict(int)
 
     def lately(self, now: int) -> float:
         return self.bad * 0.5 ** ((now - self.since) / FILL_FADE)
@@ -304,13 +303,17 @@
     def troubled(self, now: int) -> bool:
         return self.lately(now) >= FILLS_LATE
 
-    def failed(self, now: int) -> None:
+    def room(self, source: int) -> bool:
+        return self.out[source] < self.limit[source]
+
+    def failed(self, source: int, now: int) -> None:
         self.bad, self.since = min(4 * FILLS_LATE, self.lately(now) + 1), now
-        if now >= self.cut:
-            self.limit, self.cut = max(self.least, self.limit * FILL_CUT), now + FILL_CUT_EVERY
+        if now >= self.cut[source]:
+            self.limit[source] = max(self.least, self.limit[source] * FILL_CUT)
+            self.cut[source] = now + FILL_CUT_EVERY
 
-    def came(self) -> None:
-        self.limit = min(self.most, self.limit + 1 / self.limit)
+    def came(self, source: int) -> None:
+        self.limit[source] = min(self.most, self.limit[source] + 1 / self.limit[source])
 
 
 class Sent(NamedTuple):
@@ -456,7 +459,7 @@
         sent = flight.out.pop(outcome.hop)
         self.load[sent.be] -= 1
         self.naming[sent.source] -= sent.source != sent.be
-        self.fills.out -= sent.miss
+        self.fills.out[sent.source] -= sent.miss
         self._measure(flight, sent, outcome, now)
         self._judge(flight, sent, outcome, now)
         if not outcome.ending.never_ran and flight.ran is None:
@@ -487,7 +490,7 @@
             be = self.walk.pick(flight.req.obj, order, self.load, lambda at: self._busy(flight, at, now), now)
         elif self.permits.pass_through and flight.ran is None:
             be = source  # every cache is out or cold to its limit: a parent or the origin answers
-        if be is None or (source is None and (not kept or be in flight.lacking)):
+        if be is None or (source is None and not kept):
             return self._hold(flight, now)
         if not self._in_time(flight, be, now):
             return self._give_up(flight)
@@ -495,8 +498,8 @@
             unasked = [at for at in order if at not in flight.lacking]
             if unasked and len(flight.lacking) < LOOKS and flight.hops + 2 <= self.permits.dispatches:
                 be = source = be if be in unasked else unasked[0]
-            elif self.fills.out >= self.fills.limit:
-                return self._hold(flight, now)
+        if source is None and be in flight.lacking:
+            return self._hold(flight, now)
         if not flight.lacking and not self.retries.pay(flight):
             return self._give_up(flight)
         return self._dispatch(flight, be, be if source is None else source, weight, now)
@@ -520,7 +523,7 @@
             source = roster.peers[Tier.ORIGIN][0]
         hop, flight.hops = flight.hops, flight.hops + 1
         flight.out[hop] = Sent(be, source, now, cold, self._shared(be), be in flight.lacking)
-        self.fills.out += be in flight.lacking
+        self.fills.out[source] += be in flight.lacking
         self.load[be] += 1
         self.naming[source] += source != be
         late = vhost.fresh_for and (flight.avoid or self.fills.troubled(now))
@@ -547,9 +550,9 @@
         timely = ending is Ending.DONE and outcome.elapsed <= self._target(flight)
         late = ending in (Ending.DONE, Ending.LATE) and not timely and (filled or sent.shared < EASY)
         if timely and filled:
-            self.fills.came()
+            self.fills.came(sent.source)
         elif late or told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.NO_PLACE, Told.ORIGIN_LOST):
-            self.fills.failed(now)
+            self.fills.failed(sent.source, now)
 
     def _judge(self, flight: Flight, sent: Sent, outcome: Outcome, now: int) -> None:
         """Which side failed, where the answer tells; else both are marked, and peers tell them apart."""
@@ -605,8 +608,8 @@
 
     def _own(self, flight: Flight) -> float:
         """The sending time of a req at full pace."""
-        told = flight.req.size_kb and self.pace
-        return flight.req.size_kb / self.pace * S if told else self._weight(flight.vhost)
+        own = flight.req.size_kb / self.pace * S if self.pace else 0
+        return own or self._weight(flight.vhost)
 
     def _target(self, flight: Flight) -> int:
         return int(flight.vhost.first_byte_target + flight.vhost.target_stretch * self._own(flight))
@@ -645,7 +648,8 @@
 
     def _source_ok(self, at: int, weight: int, now: int) -> bool:
         well = self.health.usable(at, self.naming[at], now) and self.health.full.get(at, 0) <= now
-        return well and self._warm(at, weight, now)
+        room = self.fills.room(at) or not self.fills.troubled(now)
+        return well and room and self._warm(at, weight, now)
 
     def _rank(self, req: Req) -> int:
         """A first look may be the only one: what is asked for again is kept before it."""
