--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -142,8 +142,7 @@
     def pick(self, obj: str, order: list[int], load: list[int], busy, now: int) -> int:
         slot = zlib.crc32(obj.encode()) % len(self.table)
         length, changed = self.table[slot]
-        best = min(order[:length], key=lambda at: load[at])  # the first of equals: the higher hash
-        steps = length
+        best, steps = min(order[:length], key=load.__getitem__), length  # ties go to the higher hash
         if busy(best):
             free = ((n, at) for n, at in enumerate(order, 1) if not busy(at))
             steps, best = next(free, (len(order), order[0]))
