Deny nothing for want of knowledge, always try an idle cache; test the adapter

Found by the adapter's first test: where sizes are not told, targets have no stretch and nothing has been measured, the assumed sending time was the whole target and every req was denied, for ever, as nothing could be measured then. Danger met: a guard that shuts out what would disprove it. Also: a hold never runs over by its jitter, a second leave of the same client calls nothing off, and events without object, seed or elapsed time are named as malformed.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -51,8 +51,7 @@
 LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
 PATIENCE = 1.5  # of the target, for an answer: later ones earn little and hold places that others need
 HOLD = 20 * MS  # until a held req is asked again: short beside any target
-RETRY_RATE = 0.3  # further dispatches for each first one in the long run: no storm of our own
-RETRY_BURST = 20.0  # further dispatches that may come at once, for a server that dies full of reqs
+RETRY_RATE, RETRY_BURST = 0.3, 20.0  # further dispatches for each first one, and at once: no storm of ours
 BINS, STEP = 36, 1.3  # bins of a histogram, and their growth: finer than the spread of what is measured
 MEASURED, FEW = 400, 12  # samples: then bins are halved, some tens of seconds; below, a default stands
 EASY = 2.0  # slowed by no more than this, a cache is not to blame for a late answer
@@ -437,7 +436,7 @@
     def left(self, req_id: int) -> int | None:
         """The client has gone; returns the hop to call off, if any."""
         flight = self.flights.get(req_id)
-        if flight is None:
+        if flight is None or flight.over:
             return None
         self._end(flight)
         return next(iter(flight.out), None) if self.permits.call_off and not flight.streaming else None
@@ -591,7 +590,7 @@
     def _hold(self, flight: Flight, now: int) -> Hold | Deny | Abort:
         if now + HOLD >= min(flight.deadline, flight.came + self._target(flight)):
             return self._give_up(flight)
-        return Hold(HOLD + self._chance(HOLD // 2))
+        return Hold(HOLD - self._chance(HOLD // 2))
 
     def _end(self, flight: Flight) -> None:
         flight.over = True
@@ -605,21 +604,22 @@
     def _weight(self, vhost: VHost) -> int:
         return int(self.sending[vhost.name].mean(vhost.first_byte_target))
 
-    def _own(self, flight: Flight) -> float:
+    def _own(self, flight: Flight, unknown: float = 0.0) -> float:
         """The sending time of a req at full pace."""
         own = flight.req.size_kb / self.pace * S if self.pace else 0
-        return own or self._weight(flight.vhost)
+        return own or self.sending[flight.vhost.name].mean(unknown)  # what is not known denies nothing
 
     def _target(self, flight: Flight) -> int:
-        return int(flight.vhost.first_byte_target + flight.vhost.target_stretch * self._own(flight))
+        aim, stretch = flight.vhost.first_byte_target, flight.vhost.target_stretch
+        return int(aim + stretch * self._own(flight, aim))
 
     def _in_time(self, flight: Flight, be: int, now: int) -> bool:
         """Work that cannot meet its first-byte target is not begun: it would only make others late as well.
 
         Covers bursts, overload, retry storms and slow caches; could harm where the link is better than told.
         """
-        cache = self.roster.be[be].tier is Tier.CACHE
-        takes = self._own(flight) * (max(1.0, self._shared(be)) * PACE_MARGIN if cache else 1.0)
+        cache = self.roster.be[be].tier is Tier.CACHE and self.load[be]  # an idle one is always tried
+        takes = self._own(flight) * (max(1.0, self._shared(be)) * PACE_MARGIN if cache else 0.0)
         return now + takes <= flight.came + self._target(flight)
 
     def _busy(self, flight: Flight, be: int, now: int) -> bool:
--- a/quartzrouter/drill/wire.py
+++ b/quartzrouter/drill/wire.py
@@ -70,7 +70,7 @@
         window, multiple = rules.get("tip_after_us") or 1_000_000, rules.get("tip_multiple") or 1.0
         self.arguments = {
             "me": setup.get("me") or 0,
-            "seed": event.get("prng") or 0,
+            "seed": need(event, "prng", int),
             "home": home,
             "vhosts": [self._vhost(n, c, fam) for n, c in enumerate(setup.get("categories") or [])],
             "permits": Permits(
@@ -155,7 +155,7 @@
     return Req(
         id=need(event, "op_id", int),
         vhost=need(event, "band", str),
-        obj=event.get("object") or "",
+        obj=need(event, "object", str),
         group=event.get("tag"),
         part=event.get("piece") or 0,
         size_kb=event.get("size_kb") or 0.0,
@@ -169,7 +169,7 @@
     return Outcome(
         hop=need(event, "hop", int),
         ending=ENDINGS.get(need(event, "how", str), Ending.ERROR),
-        elapsed=event.get("time_taken_us") or 0,
+        elapsed=need(event, "time_taken_us", int),
         told=Told(note) if note in Told._value2member_map_ else Told.NOTHING,
         over=bool(event.get("ended")),
     )
--- /dev/null
+++ b/tests/test_drill.py
@@ -0,0 +1,80 @@
+"""The bench adapter: lines in, lines out, and what it says of lines that it can't read."""
+
+import io
+import json
+
+import pytest
+
+from quartzrouter.drill.host import main
+
+SETUP = {
+    "me": 0, "peers_total": 1, "zone": "north", "zones": ["hub", "north"],
+    "models": ["box", "parent", "origin"],
+    "categories": [
+        {"name": "page", "effect": "retryable", "aim_us": 400000, "deadline_us": 3000000, "worth": 1.0},
+        {"name": "sale", "effect": "unheard-of", "aim_us": 800000, "deadline_us": 3000000, "worth": 3.0},
+    ],
+    "limits": {"try_limit": 4, "cancel": True, "retry_after": True, "max_retry_after_us": 2000000, "news": 1},
+    "family_info": {"shield_kind": 1, "store_kind": 2, "flow_kb_per_s": 1000, "never_kept": [False, True]},
+    "rules": {"cold_from": 0.25, "ramp_time_us": 16000000, "tip_multiple": 2.0, "tip_after_us": 1000000},
+}  # fmt: skip
+LIST = [
+    {"cache": "c1", "campus": "north", "model": "box", "condition": "Running"},
+    {"cache": "p1", "campus": "hub", "model": "parent", "condition": "Running"},
+    {"cache": "o", "campus": "hub", "model": "origin", "condition": "Running"},
+]
+START = [
+    {"t": "OPEN_INSTANCE", "prng": 7, "setup": SETUP},
+    {"t": "DIRECTORY_UPDATE", "how": "remembered", "nodes_list": LIST},
+]
+
+
+def demand(op_id, **other):
+    event = {"t": "DEMAND", "op_id": op_id, "band": "page", "object": "a", "time_budget_us": 2000000}
+    return event | other
+
+
+def answer(op_id, how, **other):
+    return {"t": "ANSWER", "op_id": op_id, "how": how, "hop": 0, "time_taken_us": 9000} | other
+
+
+def play(drive, *batches, tail=()):
+    lines = []
+    for serial, events in enumerate(batches, 1):
+        lines.append({"t": "CLOCK", "sim_time_us": serial * 1000000, "serial": serial})
+        lines += [{"router": "router/0"} | event for event in events] + [{"t": "GO"}]
+    text = "".join(json.dumps(line) + "\n" for line in lines) + "".join(tail)
+    out = io.BytesIO()
+    status = main(io.BytesIO(text.encode()), out)
+    drive.lines += [*out.getvalue().decode().splitlines(), f"status {status}"]
+
+
+def test_a_req_is_routed_and_its_end_is_taken_in(drive):
+    play(
+        drive,
+        START + [demand(1), {"t": "NEWS", "what": "unknown"}],
+        [answer(1, "success", ended=True), demand(2, band="sale")],
+        [answer(2, "failure"), answer(9, "success"), demand(3, band="unknown")],
+        [{"t": "STOP"}, *START, demand(4)],
+        [{"t": "DROPPED", "op_id": 4}, {"t": "DROPPED", "op_id": 4}],
+    )
+
+
+@pytest.mark.parametrize(
+    "batches, tail, said",
+    [
+        ([START], ["{nonsense\n"], "is not JSON"),
+        ([START], ['{"t":"CLOCK","sim_time_us":9,"serial":9}\n'], "its GO is missing"),
+        ([START + [{"t": "DEMAND", "band": "page"}]], [], "batch 1: DEMAND: op_id is missing"),
+        ([START], ["[]\n"], "has no t"),
+    ],
+)
+def test_what_cannot_be_read_ends_it_with_a_line(batches, tail, said, capsys):
+    out = io.BytesIO()
+    lines = []
+    for batch in batches:
+        lines += [{"t": "CLOCK", "sim_time_us": 1, "serial": 1}, *batch, {"t": "GO"}]
+    text = "".join(json.dumps({"router": "router/0"} | line) + "\n" for line in lines) + "".join(tail)
+    assert main(io.BytesIO(text.encode()), out) == 1
+    error = capsys.readouterr().err
+    assert said in error and error.count("\n") == 1
