--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -274,11 +274,11 @@
     def __init__(self, crowded_at: int):
         self.crowded_at = crowded_at
 
-    def pick(self, parents: list[int], origins: list[int], naming: list[int], usable) -> int | None:
-        for at in parents:
-            if naming[at] < self.crowded_at and usable(at):
-                return at
-        return next((at for at in origins if usable(at)), None)
+    def pick(self, parents: list[int], origins: list[int], naming: list[int], usable, room) -> int | None:
+        well = [at for at in parents if usable(at)]
+        if well:  # the origin serves when none is up, not when all are crowded
+            return next((at for at in well if naming[at] < self.crowded_at and room(at)), None)
+        return next((at for at in origins if usable(at) and room(at)), None)
 
 
 class Fills:
@@ -480,7 +480,8 @@
         parents = self.walk.order(flight.req.obj, roster.peers[Tier.PARENT], roster, True) if kept else []
         parents = [at for at in parents if roster.up(at) and at not in flight.avoid]
         origins = roster.peers[Tier.ORIGIN]
-        source = self.sources.pick(parents, origins, self.naming, lambda at: self._source_ok(at, weight, now))
+        ok, calm = (lambda at: self._source_ok(at, weight, now)), not self.fills.troubled(now)
+        source = self.sources.pick(parents, origins, self.naming, ok, lambda at: calm or self.fills.room(at))
         order, be = self._eligible(flight, weight, now), None
         if not kept and self.permits.pass_through:
             be = source if source is not None and self.retries.may_reach(flight, roster.be[source]) else None
@@ -647,8 +648,7 @@
 
     def _source_ok(self, at: int, weight: int, now: int) -> bool:
         well = self.health.usable(at, self.naming[at], now) and self.health.full.get(at, 0) <= now
-        room = self.fills.room(at) or not self.fills.troubled(now)
-        return well and room and self._warm(at, weight, now)
+        return well and self._warm(at, weight, now)
 
     def _rank(self, req: Req) -> int:
         """A first look may be the only one: what is asked for again is kept before it."""
