--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -21,9 +21,7 @@
 log = logging.getLogger(__name__)
 
 MS, S = 1_000, 1_000_000  # us
-BUSY_AT = (
-    2.5  # reqs outstanding over what the link carries, this router's share: targets leave about so much room
-)
+BUSY_AT = 2.5  # reqs outstanding over this router's share of what the link carries: targets leave such room
 BUSY_LEAST = 2  # reqs outstanding; one alone says nothing of load
 BUSY_AFTER_FULL = 1 * S  # the design's: a refusal speaks of a queue that takes about that long to drain
 SOURCE_AFTER_FULL = 250 * MS  # a parent or the origin has no second to take its place: soon tried again
@@ -258,7 +256,8 @@
     def probed(self, at: int, well: bool, now: int) -> bool:
         """A server that was not reached answers again: it is tried at once."""
         back = well and self.out.get(at, 0) > now and at in self.unreached
-        self.out[at] = now if back else self.out.get(at, 0)
+        if back:
+            self.out[at] = now
         return back
 
     def due(self, now: int) -> list[int]:
@@ -482,8 +481,9 @@
         origins = roster.peers[Tier.ORIGIN]
         ok, calm = (lambda at: self._source_ok(at, weight, now)), not self.fills.troubled(now)
         source = self.sources.pick(parents, origins, self.naming, ok, lambda at: calm or self.fills.room(at))
-        order, be = self._eligible(flight, weight, now), None
-        if not kept and self.permits.pass_through:
+        passing, be = not kept and self.permits.pass_through, None
+        order = [] if passing else self._eligible(flight, weight, now)
+        if passing:
             be = source if source is not None and self.retries.may_reach(flight, roster.be[source]) else None
         elif order:
             be = self.walk.pick(flight.req.obj, order, self.load, lambda at: self._busy(flight, at, now), now)
@@ -493,7 +493,7 @@
             return self._hold(flight, now)
         if not self._in_time(flight, be, now):
             return self._give_up(flight)
-        if kept and be in order and self.fills.troubled(now):
+        if kept and be in order and not calm:
             unasked = [at for at in order if at not in flight.lacking]
             if unasked and len(flight.lacking) < LOOKS and flight.hops + 2 <= self.permits.dispatches:
                 be = source = be if be in unasked else unasked[0]
@@ -538,9 +538,8 @@
         ending, told = outcome.ending, outcome.told
         if ending is Ending.DONE and told in (Told.HIT, Told.NOTHING) and flight.req.size_kb:
             seen = self.links.setdefault(self.roster.be[sent.be].kind, Histogram(1.0))
-            seen.add(
-                sent.shared * self._link(sent.be) * min(1.0, self._own(flight) / max(1, outcome.elapsed))
-            )
+            pace = min(1.0, self._own(flight) / max(1, outcome.elapsed))
+            seen.add(sent.shared * self._link(sent.be) * pace)
         elif ending is Ending.DONE and told is Told.HIT:
             self.sending[flight.req.vhost].add(outcome.elapsed / max(1.0, sent.shared))
         if sent.source == sent.be or told is Told.HIT or self.roster.be[sent.be].tier is not Tier.CACHE:
@@ -565,7 +564,8 @@
             return
         if ending is Ending.LACKING and source == at:
             flight.lacking.add(at)
-        if (ending is Ending.LACKING and source == at) or ending in (Ending.CALLED_OFF, Ending.UNSENT):
+            return
+        if ending in (Ending.CALLED_OFF, Ending.UNSENT):
             return
         blamed = {at}
         if told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.SOURCE_LACKS):
