Others' load from the usual load and the pace of answers, no walking on for the target

Cause taken: own reqs times the number of routers make one req out look like a full cache, so that a fifth of the reqs is denied before any trouble begins. Now a gamma prior's mean of the usual load and own reqs, corrected by the pace of answers.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -11,6 +11,7 @@
 from collections import OrderedDict, defaultdict, deque
 from dataclasses import replace
 from hashlib import blake2b
+from itertools import accumulate
 from typing import NamedTuple
 
 from quartzrouter.interface import (
@@ -39,16 +40,23 @@
 TRUSTED_AFTER = 4  # good answers on trial
 PROBE_EVERY = 500 * MS  # of what is out for not being reached: cheap beside the reqs it saves
 COLD_SHARE = 0.6  # of a cold budget that is used: sizes clump, and other routers' shares may too
+GOLDEN = 0.618034  # numbers times this lie evenly between 0 and 1
 FILLS_START, FILLS_LEAST, FILLS_MOST = 16.0, 2.0, 64.0  # known misses that a source fills at once in trouble
 FILLS_LATE = 2.0  # late or failed fills that make trouble: fewer are chance
 LOOKS = 2  # caches asked for what they hold before a fill, while in trouble: further copies are fewer
 FILL_FADE = 1 * S  # such a fill counts half after this time, so that trouble ends soon after its cause
 FILL_CUT, FILL_CUT_EVERY = 0.85, 100 * MS  # the limit falls by so much at most so often: a round trip's time
+LOAD_KEPT = 8 * S  # half-life of the usual load: some reqs even where a router sees four a second
+LOAD_FADE = 2 * S  # half-life of what one answer shows of a cache's load: some sending times
+LOAD_TRUST = 0.5  # of what one answer shows: sizes and shares vary while it is sent
+PACE_CLEAR = 1.15  # slowed by less, an answer shows only that the link was not full
+PACE_SEEN = 100 * MS  # sending time from which an answer's pace says something: several round trips
+LOAD_SPREAD = 4.0  # reqs outstanding at a cache that must be exceeded before they outweigh the usual load
 ROOM = 0.9  # reqs outstanding over what the location's links carry: above it, more copies only move the load
 PACE_MARGIN = 1.4  # more will come while a req is sent
 LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
 PATIENCE = 1.5  # of the target, for an answer: later ones earn little and hold places that others need
-HOLD = 20 * MS  # until a held req is asked again: short beside any target
+HOLD = 50 * MS  # until a held req is asked again: short beside any target
 RETRY_RATE, RETRY_BURST = 0.3, 20.0  # further dispatches for each first one, and at once: no storm of ours
 BINS, STEP = 36, 1.3  # bins of a histogram, and their growth: finer than the spread of what is measured
 MEASURED, FEW = 400, 12  # samples: then bins are halved, some tens of seconds; below, a default stands
@@ -60,24 +68,29 @@
     """A few coarse bins, each STEP wider than the one before, halved from time to time."""
 
     def __init__(self, first: float):
-        self.first, self.bins = first, [0] * BINS
+        self.first, self.bins, self.count = first, [0] * BINS, 0
+        self.known: dict[float | None, float] = {}  # quantiles and, under None, the mean, until the next sample
 
     def add(self, value: float) -> None:
         self.bins[min(BINS - 1, max(0, int(math.log(max(value, self.first) / self.first, STEP))))] += 1
-        if sum(self.bins) >= MEASURED:
+        self.count += 1
+        if self.count >= MEASURED:
             self.bins = [n // 2 for n in self.bins]
+            self.count = sum(self.bins)
+        self.known.clear()
 
     def mean(self, default: float) -> float:
-        count = sum(self.bins)
-        total = sum(n * self.first * STEP ** (at + 0.5) for at, n in enumerate(self.bins))
-        return total / count if count >= FEW else default
+        if self.count >= FEW and None not in self.known:
+            total = sum(n * self.first * STEP ** (at + 0.5) for at, n in enumerate(self.bins) if n)
+            self.known[None] = total / self.count
+        return self.known.get(None, default)
 
     def quantile(self, share: float, default: float) -> float:
-        left = sum(self.bins) * share
-        if sum(self.bins) < FEW:
-            return default
-        at = next(at for at in range(BINS) if sum(self.bins[: at + 1]) >= left)
-        return self.first * STEP ** (at + 0.5)
+        if self.count >= FEW and share not in self.known:
+            left = accumulate(self.bins)
+            at = next(at for at, n in enumerate(left) if n >= self.count * share)
+            self.known[share] = self.first * STEP ** (at + 0.5)
+        return self.known.get(share, default)
 
 
 class Roster:
@@ -151,19 +164,27 @@
 
 
 class WarmUp:
-    """What cold servers of one tier may be sent: a budget over every window, shared among their routers."""
+    """What cold servers of one tier may be sent: a budget over every window, shared among their routers.
 
-    def __init__(self, cold: ColdStart, share: float):
-        self.cold, self.share = cold, share
+    A share too small for one req is taken in turns: a router has a window to itself now and then, as often
+    as the budget allows, at places in the round that are spread evenly by its number.
+    """
+
+    def __init__(self, cold: ColdStart, share: float, me: int):
+        self.cold, self.share, self.place = cold, share, me * GOLDEN % 1
         self.sent: dict[int, deque[list[int]]] = {}  # per server: when, sending time
 
-    def room(self, at: int, link: float, started: int, weight: int, now: int) -> bool:
+    def room(self, at: int, link: float, started: int, weight: int, most: int, now: int) -> bool:
         cold = self.cold
         age = now - started - cold.window  # what it could do when the window began
         if not started or age >= cold.ramp:
             return True
         can = link * (cold.floor + (1 - cold.floor) * max(0, age) / cold.ramp)
         budget = can * cold.multiple * cold.window * self.share / cold.routers
+        if 0 < budget < most:
+            turn = int((now - started) / cold.window + self.place)
+            if (turn * budget / most + self.place) % 1 < budget / most:
+                budget = most
         return sum(w for _, w in self.lately(at, now)) + weight <= budget
 
     def spend(self, at: int, weight: int, now: int) -> list[int]:
@@ -199,6 +220,47 @@
         return min(age, usual) if usual else age
 
 
+class Loads:
+    """Reqs outstanding at servers: this router's, and what the location's other routers likely have there.
+
+    A router's own reqs are a sample.  Where they are few, one more says little, and the location's usual load
+    says more; where they are many, they stand for the others (a gamma prior's mean).  Covers any number of
+    routers; could harm when the others' clients want what ours don't: then the usual load is off.
+    """
+
+    def __init__(self, routers: int, spread: float, half: int, fade: int):
+        self.others, self.spread, self.half, self.fade = routers - 1, spread, half, fade
+        self.own: list[int] = []
+        self.here, self.usual, self.seen = 0, 0.0, 0  # of the location's caches: now, usually, when
+        self.off: dict[int, tuple[float, int]] = {}  # by how much answers showed more or less, when
+
+    def change(self, at: int, by: int, cache: bool, now: int) -> None:
+        keep = 0.5 ** ((now - self.seen) / self.half)
+        self.usual, self.seen = self.usual * keep + self.here * (1 - keep), now
+        self.own[at] += by
+        self.here += by * cache
+
+    def all(self, at: int, share: float, now: int) -> float:
+        """Of every router, at a cache that carries such a share of the location's load."""
+        usual = self.usual * share
+        others = self.others * usual * (self.spread + self.own[at]) / (self.spread + usual)
+        return self.own[at] + max(0.0, others + self.lately(at, now))
+
+    def shown(self, at: int, share: float, link: float, slowed: float, now: int) -> None:
+        """An answer came slowed by so much: at full pace, no more than the link carries can be out."""
+        more = link * slowed - self.all(at, share, now)
+        if slowed < PACE_CLEAR:
+            more = min(0.0, more)
+        self.off[at] = (self.lately(at, now) + more * LOAD_TRUST, now)
+
+    def lately(self, at: int, now: int) -> float:
+        off, when = self.off.get(at, (0.0, 0))
+        return off * 0.5 ** ((now - when) / self.fade)
+
+    def whole(self) -> float:
+        return self.here + self.others * self.usual
+
+
 class Health:
     """Outliers by their own failures, with a way back; busy after a refusal.
 
@@ -396,13 +458,13 @@
         self.roster = Roster(home)
         self.walk = Walk(QUIET, WALKS)
         self.sources = Sources(CROWDED_AT)
-        self.warm = {Tier.CACHE: WarmUp(cold_cache, COLD_SHARE), Tier.PARENT: WarmUp(cold_parent, COLD_SHARE)}
+        self.warm = {Tier.CACHE: WarmUp(cold_cache, COLD_SHARE, me), Tier.PARENT: WarmUp(cold_parent, COLD_SHARE, me)}
         self.purges = Purges(purge_life)
         self.health = Health(self._chance)
         self.fills = Fills(FILLS_START, FILLS_LEAST, FILLS_MOST)
         self.retries = Retries(permits.dispatches, RETRY_RATE, RETRY_BURST)
         self.flights: dict[int, Flight] = {}
-        self.load: list[int] = []  # reqs outstanding, by server
+        self.loads = Loads(cold_cache.routers, LOAD_SPREAD, LOAD_KEPT, LOAD_FADE)
         self.naming: list[int] = []  # of those to others, how many name it as source
         self.seen: tuple[set, set] = (set(), set())  # objects asked for lately, and before that
         self.subscribe_at = 0 if permits.subscribe else None
@@ -411,7 +473,7 @@
         for at in self.roster.hear(lines, whole):
             self.health.strikes.pop(at, None)
             self.health.out.pop(at, None)
-        self.load += [0] * (len(self.roster.be) - len(self.load))
+        self.loads.own += [0] * (len(self.roster.be) - len(self.loads.own))
         self.naming += [0] * (len(self.roster.be) - len(self.naming))
         self.walk.orders.clear()
 
@@ -454,7 +516,7 @@
         if flight is None or outcome.hop not in flight.out:
             return None
         sent = flight.out.pop(outcome.hop)
-        self.load[sent.be] -= 1
+        self.loads.change(sent.be, -1, self.roster.be[sent.be].tier is Tier.CACHE, now)
         self.naming[sent.source] -= sent.source != sent.be
         self.fills.out[sent.source] -= sent.miss
         self._measure(flight, sent, outcome, now)
@@ -486,7 +548,7 @@
         if passing:
             be = source if source is not None and self.retries.may_reach(flight, roster.be[source]) else None
         elif order:
-            be = self.walk.pick(flight.req.obj, order, self.load, lambda at: self._busy(flight, at, now), now)
+            be = self.walk.pick(flight.req.obj, order, self.loads.own, lambda at: self._busy(flight, at, now), now)
         elif self.permits.pass_through and flight.ran is None:
             be = source  # every cache is out or cold to its limit: a parent or the origin answers
         if be is None or (source is None and not kept):
@@ -507,7 +569,7 @@
         """The location's caches in the object's order, without those that a guard rules out."""
         order = self.walk.order(flight.req.obj, self.roster.peers[Tier.CACHE], self.roster, False)
         able = [at for at in order if self.retries.may_reach(flight, self.roster.be[at])]
-        fit = [at for at in able if self.health.usable(at, self.load[at], now)] or able
+        fit = [at for at in able if self.health.usable(at, self.loads.own[at], now)] or able
         fit = [at for at in fit if at not in flight.avoid] or fit
         return [at for at in fit if self._warm(at, weight, now)]
 
@@ -521,9 +583,9 @@
         if source == be and roster.be[be].tier is Tier.PARENT and roster.peers[Tier.ORIGIN]:
             source = roster.peers[Tier.ORIGIN][0]
         hop, flight.hops = flight.hops, flight.hops + 1
-        flight.out[hop] = Sent(be, source, now, cold, self._shared(be), be in flight.lacking)
+        flight.out[hop] = Sent(be, source, now, cold, self._shared(be, now), be in flight.lacking)
         self.fills.out[source] += be in flight.lacking
-        self.load[be] += 1
+        self.loads.change(be, 1, roster.be[be].tier is Tier.CACHE, now)
         self.naming[source] += source != be
         late = vhost.fresh_for and (flight.avoid or self.fills.troubled(now))
         usual = vhost.fresh_for + (vhost.grace_for if late else 0)  # an old copy is better than none
@@ -536,6 +598,14 @@
 
     def _measure(self, flight: Flight, sent: Sent, outcome: Outcome, now: int) -> None:
         ending, told = outcome.ending, outcome.told
+        own, link = self._own(flight), self._link(sent.be)
+        if (
+            ending in (Ending.DONE, Ending.LATE)
+            and told in (Told.HIT, Told.NOTHING)
+            and own >= PACE_SEEN
+            and self.roster.be[sent.be].tier is Tier.CACHE
+        ):
+            self.loads.shown(sent.be, link / self._links(), link, outcome.elapsed / own, now)
         if ending is Ending.DONE and told in (Told.HIT, Told.NOTHING) and flight.req.size_kb:
             seen = self.links.setdefault(self.roster.be[sent.be].kind, Histogram(1.0))
             pace = min(1.0, self._own(flight) / max(1, outcome.elapsed))
@@ -619,23 +689,23 @@
 
         Covers bursts, overload, retry storms and slow caches; could harm where the link is better than told.
         """
-        cache = self.roster.be[be].tier is Tier.CACHE and self.load[be]  # an idle one is always tried
-        takes = self._own(flight) * (max(1.0, self._shared(be)) * PACE_MARGIN if cache else 0.0)
+        cache = self.roster.be[be].tier is Tier.CACHE and self.loads.own[be]  # an idle one is always tried
+        takes = self._own(flight) * (max(1.0, self._shared(be, now)) * PACE_MARGIN if cache else 0.0)
         return now + takes <= flight.came + self._target(flight)
 
     def _busy(self, flight: Flight, be: int, now: int) -> bool:
-        limit = max(BUSY_LEAST, BUSY_AT * self._link(be) / self.warm[Tier.CACHE].cold.routers)
-        if self.load[be] >= limit or self.health.full.get(be, 0) > now:
+        crowded = self.loads.own[be] >= BUSY_LEAST and self._shared(be, now) > BUSY_AT
+        if crowded or self.health.full.get(be, 0) > now:
             return True
-        if self.fills.troubled(now) or self._in_time(flight, be, now):
-            return False
-        caches = self.roster.peers[Tier.CACHE]  # a copy more costs a fill: only while the location has room
-        loads, links = sum(self.load[at] for at in caches), sum(self._link(at) for at in caches)
-        return loads * self.warm[Tier.CACHE].cold.routers < ROOM * links
+        return False
+
+    def _shared(self, be: int, now: int) -> float:
+        """By how much one more transfer from a cache is slowed."""
+        return (self.loads.all(be, self._link(be) / self._links(), now) + 1) / self._link(be)
 
-    def _shared(self, be: int) -> float:
-        """By how much one more transfer from a cache is slowed; the location's other routers do as we do."""
-        return (self.load[be] * self.warm[Tier.CACHE].cold.routers + 1) / self._link(be)
+    def _links(self) -> float:
+        """What the location's caches carry."""
+        return sum(self._link(at) for at in self.roster.peers[Tier.CACHE]) or LINK_GUESS
 
     def _link(self, at: int) -> float:
         if self.rated:
@@ -644,7 +714,8 @@
 
     def _warm(self, at: int, weight: int, now: int) -> bool:
         warm = self.warm.get(self.roster.be[at].tier)
-        return warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, now)
+        most = max(self._weight(vhost) for vhost in self.vhosts.values())
+        return warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, most, now)
 
     def _source_ok(self, at: int, weight: int, now: int) -> bool:
         well = self.health.usable(at, self.naming[at], now) and self.health.full.get(at, 0) <= now
