Late answers put no server out but are probed; fill limits stand for all routers

Cause: at full size each router names few parents seldom. Three late fills put the most crowded parent out at many routers at once, its objects were fetched anew from the origin, and limits of 2 to 64 known misses a router never bound. Covers slow, crowded and refusing sources; could harm where a parent hangs and answers probes: then only its limit falls.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -1,14 +1,13 @@
 """Every decision of the router; the values that go in and out are in quartzrouter/interface.py.
 
-One Router per instance.  Ask it three things: route(req, now) where a req goes, after(req, outcome, now)
-what follows a dispatch, wait(now) how long until it wants to be asked again.  Tell it what happens: heard()
-the cache list, purged(), probed(), begun() a streamed answer, left() a client.  A Hold is asked by route().
+One Router per instance.  Ask it route(req, now), also for what is on Hold, after(req_id, outcome, now) and
+wait(now); tell it the list heard(), what was purged(), probed(), begun() as a stream, and who left().
 """
 
 import logging
 import math
 import zlib
-from collections import OrderedDict, defaultdict, deque
+from collections import defaultdict, deque
 from dataclasses import replace
 from hashlib import blake2b
 from itertools import accumulate
@@ -21,7 +20,7 @@
 
 log = logging.getLogger(__name__)
 
-MS, S = 1_000, 1_000_000  # us
+MS, S, NEVER = 1_000, 1_000_000, 1 << 62  # us
 BUSY_AT = 2.5  # reqs outstanding over this router's share of what the link carries: targets leave such room
 BUSY_LEAST = 2  # reqs outstanding; one alone says nothing of load
 BUSY_AFTER_FULL = 1 * S  # the design's: a refusal speaks of a queue that takes about that long to drain
@@ -40,18 +39,12 @@
 TRUSTED_AFTER = 4  # good answers on trial
 PROBE_EVERY = 500 * MS  # of what is out for not being reached: cheap beside the reqs it saves
 COLD_SHARE = 0.6  # of a cold budget that is used: sizes clump, and other routers' shares may too
-GOLDEN = 0.618034  # numbers times this lie evenly between 0 and 1
-FILLS_START, FILLS_LEAST, FILLS_MOST = 16.0, 2.0, 64.0  # known misses that a source fills at once in trouble
+FILLS_START, FILLS_LEAST, FILLS_MOST = 50.0, 6.0, 200.0  # known misses of all that a source fills in trouble
+FILL_GROWTH = 0.25  # of a limit, by each timely fill, at most
 FILLS_LATE = 2.0  # late or failed fills that make trouble: fewer are chance
 LOOKS = 2  # caches asked for what they hold before a fill, while in trouble: further copies are fewer
 FILL_FADE = 1 * S  # such a fill counts half after this time, so that trouble ends soon after its cause
 FILL_CUT, FILL_CUT_EVERY = 0.85, 100 * MS  # the limit falls by so much at most so often: a round trip's time
-LOAD_KEPT = 8 * S  # half-life of the usual load: some reqs even where a router sees four a second
-LOAD_FADE = 2 * S  # half-life of what one answer shows of a cache's load: some sending times
-LOAD_TRUST = 0.5  # of what one answer shows: sizes and shares vary while it is sent
-PACE_CLEAR = 1.15  # slowed by less, an answer shows only that the link was not full
-PACE_SEEN = 100 * MS  # sending time from which an answer's pace says something: several round trips
-LOAD_SPREAD = 4.0  # reqs outstanding at a cache that must be exceeded before they outweigh the usual load
 ROOM = 0.9  # reqs outstanding over what the location's links carry: above it, more copies only move the load
 PACE_MARGIN = 1.4  # more will come while a req is sent
 LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
@@ -60,7 +53,6 @@
 RETRY_RATE, RETRY_BURST = 0.3, 20.0  # further dispatches for each first one, and at once: no storm of ours
 BINS, STEP = 36, 1.3  # bins of a histogram, and their growth: finer than the spread of what is measured
 MEASURED, FEW = 400, 12  # samples: then bins are halved, some tens of seconds; below, a default stands
-EASY = 2.0  # slowed by no more than this, a cache is not to blame for a late answer
 LINK_SEEN = 0.8  # quantile of the transfers that a link was seen to carry: most are seen below its limit
 
 
@@ -68,29 +60,23 @@
     """A few coarse bins, each STEP wider than the one before, halved from time to time."""
 
     def __init__(self, first: float):
-        self.first, self.bins, self.count = first, [0] * BINS, 0
-        self.known: dict[float | None, float] = {}  # quantiles and, under None, the mean, until the next sample
+        self.first, self.bins, self.count, self.total = first, [0] * BINS, 0, 0.0
 
     def add(self, value: float) -> None:
         self.bins[min(BINS - 1, max(0, int(math.log(max(value, self.first) / self.first, STEP))))] += 1
-        self.count += 1
+        self.count, self.total = self.count + 1, self.total + value
         if self.count >= MEASURED:
             self.bins = [n // 2 for n in self.bins]
-            self.count = sum(self.bins)
-        self.known.clear()
+            self.total, self.count = self.total * sum(self.bins) / self.count, sum(self.bins)
 
     def mean(self, default: float) -> float:
-        if self.count >= FEW and None not in self.known:
-            total = sum(n * self.first * STEP ** (at + 0.5) for at, n in enumerate(self.bins) if n)
-            self.known[None] = total / self.count
-        return self.known.get(None, default)
+        return self.total / self.count if self.count >= FEW else default
 
     def quantile(self, share: float, default: float) -> float:
-        if self.count >= FEW and share not in self.known:
-            left = accumulate(self.bins)
-            at = next(at for at, n in enumerate(left) if n >= self.count * share)
-            self.known[share] = self.first * STEP ** (at + 0.5)
-        return self.known.get(share, default)
+        if self.count < FEW:
+            return default
+        at = next(at for at, n in enumerate(accumulate(self.bins)) if n >= self.count * share)
+        return self.first * STEP ** (at + 0.5)
 
 
 class Roster:
@@ -105,26 +91,24 @@
 
     def hear(self, lines: list[Listed], whole: bool) -> list[int]:
         """Takes in the list or changes to it; returns what has started anew."""
-        fresh, named = [], set()
+        fresh, named = [], {line.name for line in lines}
         for line in lines:
             at = self.index.setdefault(line.name, len(self.be))
             if at == len(self.be):
                 self.be, self.started = [*self.be, line], [*self.started, 0]
-            elif line.state != self.be[at].state:
+            if line.state != self.be[at].state:
                 log.info("%s is %s", line.name, line.state.value)
             self.be[at] = line
             if line.started > self.started[at]:
                 self.started[at] = line.started
                 fresh.append(at)
-            named.add(line.name)
         for at, be in enumerate(self.be):
             if whole and be.name not in named:
                 self.be[at] = replace(be, state=State.GONE)
         listed = [at for at, be in enumerate(self.be) if be.state != State.GONE]
         for tier in Tier:
-            self.peers[tier] = [
-                n for n in listed if self.be[n].tier is tier and (tier is Tier.PARENT or self.up(n))
-            ]
+            these = [n for n in listed if self.be[n].tier is tier]
+            self.peers[tier] = [n for n in these if tier is Tier.PARENT or self.up(n)]
         self.peers[Tier.CACHE] = [n for n in self.peers[Tier.CACHE] if self.be[n].location == self.home]
         return fresh
 
@@ -138,7 +122,7 @@
     def __init__(self, quiet: int, size: int):
         self.quiet = quiet
         self.table = [(1, 0)] * size  # walk length, last change
-        self.orders: OrderedDict[tuple[str, bool], list[int]] = OrderedDict()
+        self.orders: dict[tuple[str, bool], list[int]] = {}
 
     def order(self, obj: str, among: list[int], roster: Roster, parents: bool) -> list[int]:
         if (obj, parents) not in self.orders:
@@ -146,7 +130,7 @@
             heights = {at: blake2b(name, digest_size=8).digest() for at, name in names.items()}
             self.orders[obj, parents] = sorted(among, key=heights.__getitem__, reverse=True)
             if len(self.orders) > ORDERS:
-                self.orders.popitem(last=False)
+                del self.orders[next(iter(self.orders))]
         return self.orders[obj, parents]
 
     def pick(self, obj: str, order: list[int], load: list[int], busy, now: int) -> int:
@@ -164,33 +148,24 @@
 
 
 class WarmUp:
-    """What cold servers of one tier may be sent: a budget over every window, shared among their routers.
+    """What cold servers of one tier may be sent: a budget over every window, shared among their routers."""
 
-    A share too small for one req is taken in turns: a router has a window to itself now and then, as often
-    as the budget allows, at places in the round that are spread evenly by its number.
-    """
-
-    def __init__(self, cold: ColdStart, share: float, me: int):
-        self.cold, self.share, self.place = cold, share, me * GOLDEN % 1
+    def __init__(self, cold: ColdStart, share: float):
+        self.cold, self.share = cold, share
         self.sent: dict[int, deque[list[int]]] = {}  # per server: when, sending time
 
-    def room(self, at: int, link: float, started: int, weight: int, most: int, now: int) -> bool:
+    def room(self, at: int, link: float, started: int, weight: int, now: int) -> bool:
         cold = self.cold
         age = now - started - cold.window  # what it could do when the window began
         if not started or age >= cold.ramp:
             return True
         can = link * (cold.floor + (1 - cold.floor) * max(0, age) / cold.ramp)
         budget = can * cold.multiple * cold.window * self.share / cold.routers
-        if 0 < budget < most:
-            turn = int((now - started) / cold.window + self.place)
-            if (turn * budget / most + self.place) % 1 < budget / most:
-                budget = most
         return sum(w for _, w in self.lately(at, now)) + weight <= budget
 
     def spend(self, at: int, weight: int, now: int) -> list[int]:
-        spent = self.lately(at, now)
-        spent.append([now, weight])
-        return spent[-1]
+        self.lately(at, now).append([now, weight])
+        return self.sent[at][-1]
 
     def lately(self, at: int, now: int) -> deque[list[int]]:
         spent = self.sent.setdefault(at, deque())
@@ -220,52 +195,11 @@
         return min(age, usual) if usual else age
 
 
-class Loads:
-    """Reqs outstanding at servers: this router's, and what the location's other routers likely have there.
-
-    A router's own reqs are a sample.  Where they are few, one more says little, and the location's usual load
-    says more; where they are many, they stand for the others (a gamma prior's mean).  Covers any number of
-    routers; could harm when the others' clients want what ours don't: then the usual load is off.
-    """
-
-    def __init__(self, routers: int, spread: float, half: int, fade: int):
-        self.others, self.spread, self.half, self.fade = routers - 1, spread, half, fade
-        self.own: list[int] = []
-        self.here, self.usual, self.seen = 0, 0.0, 0  # of the location's caches: now, usually, when
-        self.off: dict[int, tuple[float, int]] = {}  # by how much answers showed more or less, when
-
-    def change(self, at: int, by: int, cache: bool, now: int) -> None:
-        keep = 0.5 ** ((now - self.seen) / self.half)
-        self.usual, self.seen = self.usual * keep + self.here * (1 - keep), now
-        self.own[at] += by
-        self.here += by * cache
-
-    def all(self, at: int, share: float, now: int) -> float:
-        """Of every router, at a cache that carries such a share of the location's load."""
-        usual = self.usual * share
-        others = self.others * usual * (self.spread + self.own[at]) / (self.spread + usual)
-        return self.own[at] + max(0.0, others + self.lately(at, now))
-
-    def shown(self, at: int, share: float, link: float, slowed: float, now: int) -> None:
-        """An answer came slowed by so much: at full pace, no more than the link carries can be out."""
-        more = link * slowed - self.all(at, share, now)
-        if slowed < PACE_CLEAR:
-            more = min(0.0, more)
-        self.off[at] = (self.lately(at, now) + more * LOAD_TRUST, now)
-
-    def lately(self, at: int, now: int) -> float:
-        off, when = self.off.get(at, (0.0, 0))
-        return off * 0.5 ** ((now - when) / self.fade)
-
-    def whole(self) -> float:
-        return self.here + self.others * self.usual
-
-
 class Health:
     """Outliers by their own failures, with a way back; busy after a refusal.
 
-    Covers fast errors, dead servers that the list still shows, and stalls that run into time-outs.  Could
-    harm when all fail alike: so it is judged against its peers, and at most half are out for errors.
+    Covers fast errors and dead servers that the list still shows.  A late answer is no failure: to put out
+    a crowded parent sends its objects to the origin.  Could harm when all fail: peers are the measure.
     """
 
     def __init__(self, chance):
@@ -276,6 +210,7 @@
         self.unreached: dict[int, int] = {}  # when a connection last failed
         self.full: dict[int, int] = {}  # refused lately: until when that counts
         self.probe_at: dict[int, int] = {}
+        self.asked: dict[int, int] = {}  # when it was last probed
 
     def good(self, at: int) -> None:
         marks = self.marks.setdefault(at, [0, 0])
@@ -315,17 +250,20 @@
         tried = not self.strikes.get(at) or outstanding == 0 or self.marks[at][0] > 0
         return tried and self.out.get(at, 0) <= now
 
-    def probed(self, at: int, well: bool, now: int) -> bool:
+    def probed(self, at: int, now: int) -> bool:
         """A server that was not reached answers again: it is tried at once."""
-        back = well and self.out.get(at, 0) > now and at in self.unreached
-        if back:
-            self.out[at] = now
-        return back
+        return at in self.unreached and self.out.pop(at, 0) > now
+
+    def doubt(self, at: int, now: int) -> None:
+        """To be probed: covers hangs and losses that answers leave open; harms where probes are dear."""
+        self.probe_at[at] = max(now, self.asked.get(at, -PROBE_EVERY) + PROBE_EVERY)
 
     def due(self, now: int) -> list[int]:
-        found = [n for n, at in self.probe_at.items() if at <= now and self.out.get(n, 0) > now]
+        found = [n for n, at in self.probe_at.items() if at <= now]
         for n in found:
-            self.probe_at[n] = now + PROBE_EVERY
+            self.asked[n] = self.probe_at.pop(n)
+            if self.out.get(n, 0) > now:
+                self.probe_at[n] = now + PROBE_EVERY
         return found
 
 
@@ -343,15 +281,14 @@
 
 
 class Fills:
-    """The way that fills take: the location's link, parents, origin.  While it is in trouble, caches are
-    asked for what they hold first, and a source fills only so much of what they lack as comes in time.
+    """While fills are in trouble, caches are asked for what they hold first, and a source fills only so much
+    of what they lack as comes in time: so much for all routers, of which each takes its part.
 
-    Covers a slow, refusing or lost source and a full link: hits stay served.  Could harm when late fills
-    are chance: so trouble takes several and fades in a second or two.
+    Covers slow, refusing or lost sources and full links; could harm when late fills are chance: it fades.
     """
 
-    def __init__(self, start: float, least: float, most: float):
-        self.least, self.most, self.bad, self.since = least, most, 0.0, 0
+    def __init__(self, start: float, least: float, most: float, routers: int):
+        self.least, self.most, self.bad, self.since, self.routers = least, most, 0.0, 0, routers
         self.limit: dict[int, float] = defaultdict(lambda: start)  # by source, as are the next two
         self.out: dict[int, int] = defaultdict(int)
         self.cut: dict[int, int] = defaultdict(int)
@@ -362,8 +299,9 @@
     def troubled(self, now: int) -> bool:
         return self.lately(now) >= FILLS_LATE
 
-    def room(self, source: int) -> bool:
-        return self.out[source] < self.limit[source]
+    def room(self, source: int, draw: float) -> bool:
+        """Where a router's part is below one, it is as many reqs' luck, the same at each asking."""
+        return self.out[source] + draw < self.limit[source] / self.routers
 
     def failed(self, source: int, now: int) -> None:
         self.bad, self.since = min(4 * FILLS_LATE, self.lately(now) + 1), now
@@ -372,7 +310,9 @@
             self.cut[source] = now + FILL_CUT_EVERY
 
     def came(self, source: int) -> None:
-        self.limit[source] = min(self.most, self.limit[source] + 1 / self.limit[source])
+        part = self.limit[source] / self.routers
+        grown = 1 + min(FILL_GROWTH * min(1.0, part / 2) ** 2, part**-2)  # few fills say little
+        self.limit[source] = min(self.most, self.limit[source] * grown)
 
 
 class Sent(NamedTuple):
@@ -412,18 +352,12 @@
         return flight.ran is not None and flight.vhost.effect is not Effect.REPLAYABLE
 
     def may_send(self, flight: Flight, now: int) -> bool:
-        if (
-            flight.over
-            or flight.streaming
-            or flight.out
-            or flight.hops >= self.most
-            or now >= flight.deadline
-        ):
+        taken = flight.over or flight.streaming or flight.out
+        if taken or flight.hops >= self.most or now >= flight.deadline:
             return False
-        if not self.bound(flight):
-            return True
-        left = flight.ran[0] + flight.vhost.repeats_for - REPEAT_MARGIN - now
-        return flight.vhost.effect is Effect.UNIQUED and left > 0
+        known = flight.vhost.effect is Effect.UNIQUED
+        kept = known and flight.ran and now < flight.ran[0] + flight.vhost.repeats_for - REPEAT_MARGIN
+        return kept or not self.bound(flight)
 
     def may_reach(self, flight: Flight, be: Listed) -> bool:
         if not self.bound(flight) or flight.vhost.repeats_within == "all":
@@ -436,12 +370,9 @@
         return known or not self.bound(flight)
 
     def pay(self, flight: Flight) -> bool:
-        if not flight.hops:
-            self.tokens = min(self.burst, self.tokens + self.rate)
-        elif self.tokens < 1:
+        if flight.hops and self.tokens < 1:
             return False
-        else:
-            self.tokens -= 1
+        self.tokens = min(self.burst, self.tokens + (-1 if flight.hops else self.rate))
         return True
 
 
@@ -458,35 +389,40 @@
         self.roster = Roster(home)
         self.walk = Walk(QUIET, WALKS)
         self.sources = Sources(CROWDED_AT)
-        self.warm = {Tier.CACHE: WarmUp(cold_cache, COLD_SHARE, me), Tier.PARENT: WarmUp(cold_parent, COLD_SHARE, me)}
+        cold = {Tier.CACHE: cold_cache, Tier.PARENT: cold_parent}
+        self.warm = {tier: WarmUp(cold[tier], COLD_SHARE) for tier in cold}
         self.purges = Purges(purge_life)
         self.health = Health(self._chance)
-        self.fills = Fills(FILLS_START, FILLS_LEAST, FILLS_MOST)
+        self.fills = Fills(FILLS_START, FILLS_LEAST, FILLS_MOST, cold_parent.routers)
         self.retries = Retries(permits.dispatches, RETRY_RATE, RETRY_BURST)
         self.flights: dict[int, Flight] = {}
-        self.loads = Loads(cold_cache.routers, LOAD_SPREAD, LOAD_KEPT, LOAD_FADE)
+        self.load: list[int] = []  # reqs outstanding, by server
         self.naming: list[int] = []  # of those to others, how many name it as source
-        self.seen: tuple[set, set] = (set(), set())  # objects asked for lately, and before that
-        self.subscribe_at = 0 if permits.subscribe else None
+        self.seen: dict[tuple[str, int], None] = {}  # parts asked for lately, oldest first
+        self.subscribe_at = 0 if permits.subscribe else NEVER
 
     def heard(self, lines: list[Listed], whole: bool, now: int) -> None:
         for at in self.roster.hear(lines, whole):
             self.health.strikes.pop(at, None)
             self.health.out.pop(at, None)
-        self.loads.own += [0] * (len(self.roster.be) - len(self.loads.own))
+        self.load += [0] * (len(self.roster.be) - len(self.load))
         self.naming += [0] * (len(self.roster.be) - len(self.naming))
         self.walk.orders.clear()
 
     def list_failed(self, now: int) -> None:
-        if self.permits.subscribe:
-            self.subscribe_at = now + S + self._chance(S)
+        self.subscribe_at = now + S + self._chance(S) if self.permits.subscribe else NEVER
 
     def purged(self, group: int | None, obj: str | None, age: int, now: int) -> None:
         self.purges.add(group, obj, now - age, now)
 
-    def probed(self, name: str, well: bool, report: dict[str, float], now: int) -> None:
+    def probed(self, name: str, ending: Ending, report: dict[str, float], now: int) -> None:
         at = self.roster.index.get(name)
-        if at is not None and self.health.probed(at, well, now):
+        if at is None or not self.roster.up(at):
+            return
+        if ending in (Ending.NO_CONNECTION, Ending.LATE, Ending.ERROR, Ending.CUT):
+            peers = self.roster.peers[self.roster.be[at].tier]
+            self.health.bad(at, peers, now, name, ending is Ending.NO_CONNECTION)
+        elif self.health.probed(at, now):
             self.roster.started[at] = max(self.roster.started[at], self.health.unreached.pop(at))
             log.info("%s answers again and is taken for cold", name)
 
@@ -516,22 +452,22 @@
         if flight is None or outcome.hop not in flight.out:
             return None
         sent = flight.out.pop(outcome.hop)
-        self.loads.change(sent.be, -1, self.roster.be[sent.be].tier is Tier.CACHE, now)
+        self.load[sent.be] -= 1
         self.naming[sent.source] -= sent.source != sent.be
         self.fills.out[sent.source] -= sent.miss
         self._measure(flight, sent, outcome, now)
         self._judge(flight, sent, outcome, now)
         if not outcome.ending.never_ran and flight.ran is None:
             flight.ran = (sent.at, self.roster.be[sent.be])
-        if flight.over or outcome.over or outcome.ending is Ending.DONE:
-            self._end(flight)
-            return None
-        return self._next(flight, now)
+        if not (flight.over or outcome.over or outcome.ending is Ending.DONE):
+            return self._next(flight, now)
+        self._end(flight)
+        return None
 
     def wait(self, now: int) -> Wait:
         probes = self.health.due(now) if self.permits.probes else []
-        subscribe = self.subscribe_at is not None and self.subscribe_at <= now
-        self.subscribe_at = None if subscribe else self.subscribe_at
+        subscribe = self.subscribe_at <= now
+        self.subscribe_at = NEVER if subscribe else self.subscribe_at
         return Wait(PROBE_EVERY // 2, tuple(self.roster.be[at].name for at in probes), subscribe)
 
     def _next(self, flight: Flight, now: int) -> Answer:
@@ -541,14 +477,15 @@
         parents = self.walk.order(flight.req.obj, roster.peers[Tier.PARENT], roster, True) if kept else []
         parents = [at for at in parents if roster.up(at) and at not in flight.avoid]
         origins = roster.peers[Tier.ORIGIN]
-        ok, calm = (lambda at: self._source_ok(at, weight, now)), not self.fills.troubled(now)
-        source = self.sources.pick(parents, origins, self.naming, ok, lambda at: calm or self.fills.room(at))
+        draw, fills = zlib.crc32(b"%d" % flight.req.id) / 2**32, self.fills  # the same at each asking
+        ok, calm = (lambda at: self._source_ok(at, weight, now)), not fills.troubled(now)
+        source = self.sources.pick(parents, origins, self.naming, ok, lambda at: calm or fills.room(at, draw))
         passing, be = not kept and self.permits.pass_through, None
         order = [] if passing else self._eligible(flight, weight, now)
         if passing:
             be = source if source is not None and self.retries.may_reach(flight, roster.be[source]) else None
         elif order:
-            be = self.walk.pick(flight.req.obj, order, self.loads.own, lambda at: self._busy(flight, at, now), now)
+            be = self.walk.pick(flight.req.obj, order, self.load, lambda at: self._busy(flight, at, now), now)
         elif self.permits.pass_through and flight.ran is None:
             be = source  # every cache is out or cold to its limit: a parent or the origin answers
         if be is None or (source is None and not kept):
@@ -569,7 +506,7 @@
         """The location's caches in the object's order, without those that a guard rules out."""
         order = self.walk.order(flight.req.obj, self.roster.peers[Tier.CACHE], self.roster, False)
         able = [at for at in order if self.retries.may_reach(flight, self.roster.be[at])]
-        fit = [at for at in able if self.health.usable(at, self.loads.own[at], now)] or able
+        fit = [at for at in able if self.health.usable(at, self.load[at], now)] or able
         fit = [at for at in fit if at not in flight.avoid] or fit
         return [at for at in fit if self._warm(at, weight, now)]
 
@@ -583,9 +520,9 @@
         if source == be and roster.be[be].tier is Tier.PARENT and roster.peers[Tier.ORIGIN]:
             source = roster.peers[Tier.ORIGIN][0]
         hop, flight.hops = flight.hops, flight.hops + 1
-        flight.out[hop] = Sent(be, source, now, cold, self._shared(be, now), be in flight.lacking)
+        flight.out[hop] = Sent(be, source, now, cold, self._shared(be), be in flight.lacking)
         self.fills.out[source] += be in flight.lacking
-        self.loads.change(be, 1, roster.be[be].tier is Tier.CACHE, now)
+        self.load[be] += 1
         self.naming[source] += source != be
         late = vhost.fresh_for and (flight.avoid or self.fills.troubled(now))
         usual = vhost.fresh_for + (vhost.grace_for if late else 0)  # an old copy is better than none
@@ -598,14 +535,6 @@
 
     def _measure(self, flight: Flight, sent: Sent, outcome: Outcome, now: int) -> None:
         ending, told = outcome.ending, outcome.told
-        own, link = self._own(flight), self._link(sent.be)
-        if (
-            ending in (Ending.DONE, Ending.LATE)
-            and told in (Told.HIT, Told.NOTHING)
-            and own >= PACE_SEEN
-            and self.roster.be[sent.be].tier is Tier.CACHE
-        ):
-            self.loads.shown(sent.be, link / self._links(), link, outcome.elapsed / own, now)
         if ending is Ending.DONE and told in (Told.HIT, Told.NOTHING) and flight.req.size_kb:
             seen = self.links.setdefault(self.roster.be[sent.be].kind, Histogram(1.0))
             pace = min(1.0, self._own(flight) / max(1, outcome.elapsed))
@@ -616,7 +545,7 @@
             return
         filled = sent.miss or told is not Told.NOTHING
         timely = ending is Ending.DONE and outcome.elapsed <= self._target(flight)
-        late = ending in (Ending.DONE, Ending.LATE) and not timely and (filled or sent.shared < EASY)
+        late = ending in (Ending.DONE, Ending.LATE) and not timely
         if timely and filled:
             self.fills.came(sent.source)
         elif late or told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.NO_PLACE, Told.ORIGIN_LOST):
@@ -627,7 +556,7 @@
         ending, told, roster, at, source = outcome.ending, outcome.told, self.roster, sent.be, sent.source
         if ending is Ending.DONE:
             self.health.good(at)
-            if told in (Told.FILLED, Told.FROM_ORIGIN) or (told is Told.NOTHING and source != at):
+            if source != at and told in (Told.FILLED, Told.FROM_ORIGIN, Told.NOTHING):
                 self.health.good(source)
             if told is Told.HIT and sent.cold:
                 sent.cold[1] = 0  # it never reached the parent
@@ -635,9 +564,7 @@
         if ending is Ending.LACKING and source == at:
             flight.lacking.add(at)
             return
-        if ending in (Ending.CALLED_OFF, Ending.UNSENT):
-            return
-        blamed = {at}
+        blamed = set() if ending in (Ending.CALLED_OFF, Ending.UNSENT) else {at}
         if told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.SOURCE_LACKS):
             blamed = {source}
         elif told is Told.ORIGIN_LOST:
@@ -647,16 +574,20 @@
         flight.avoid |= blamed
         for n in sorted(blamed):
             lost, be = ending is Ending.NO_CONNECTION and n == at, roster.be[n]
+            if be.tier is Tier.CACHE and told is Told.NOTHING and ending is Ending.FULL and n != source:
+                continue  # a fill was asked for: far more often it is the source that refuses
             if ending is Ending.FULL:
                 self.health.full[n] = now + (BUSY_AFTER_FULL if be.tier is Tier.CACHE else SOURCE_AFTER_FULL)
-            if ending is not Ending.LACKING and (ending is not Ending.FULL or be.tier is Tier.PARENT):
+            if not lost:
+                self.health.doubt(n, now)
+            refused = ending is Ending.FULL and be.tier is not Tier.PARENT
+            if not refused and ending not in (Ending.LACKING, Ending.LATE):
                 self.health.bad(n, roster.peers[be.tier], now, be.name, lost)
 
     def _give_up(self, flight: Flight) -> Deny | Abort:
         self._end(flight)
-        if flight.vhost is None or self.retries.may_deny(flight):
-            return Deny(min(self.permits.longest_wait, S // 2))
-        return Abort()
+        deny = flight.vhost is None or self.retries.may_deny(flight)
+        return Deny(min(self.permits.longest_wait, S // 2)) if deny else Abort()
 
     def _hold(self, flight: Flight, now: int) -> Hold | Deny | Abort:
         if now + HOLD >= min(flight.deadline, flight.came + self._target(flight)):
@@ -689,23 +620,24 @@
 
         Covers bursts, overload, retry storms and slow caches; could harm where the link is better than told.
         """
-        cache = self.roster.be[be].tier is Tier.CACHE and self.loads.own[be]  # an idle one is always tried
-        takes = self._own(flight) * (max(1.0, self._shared(be, now)) * PACE_MARGIN if cache else 0.0)
+        cache = self.roster.be[be].tier is Tier.CACHE and self.load[be]  # an idle one is always tried
+        takes = self._own(flight) * (max(1.0, self._shared(be)) * PACE_MARGIN if cache else 0.0)
         return now + takes <= flight.came + self._target(flight)
 
     def _busy(self, flight: Flight, be: int, now: int) -> bool:
-        crowded = self.loads.own[be] >= BUSY_LEAST and self._shared(be, now) > BUSY_AT
-        if crowded or self.health.full.get(be, 0) > now:
+        limit = max(BUSY_LEAST, BUSY_AT * self._link(be) / self.warm[Tier.CACHE].cold.routers)
+        if self.load[be] >= limit or self.health.full.get(be, 0) > now:
             return True
-        return False
-
-    def _shared(self, be: int, now: int) -> float:
-        """By how much one more transfer from a cache is slowed."""
-        return (self.loads.all(be, self._link(be) / self._links(), now) + 1) / self._link(be)
+        if self.fills.troubled(now) or self._in_time(flight, be, now):
+            return False
+        caches, routers = self.roster.peers[Tier.CACHE], self.warm[Tier.CACHE].cold.routers
+        return (
+            sum(self.load[at] * routers - ROOM * self._link(at) for at in caches) < 0
+        )  # room for a copy more
 
-    def _links(self) -> float:
-        """What the location's caches carry."""
-        return sum(self._link(at) for at in self.roster.peers[Tier.CACHE]) or LINK_GUESS
+    def _shared(self, be: int) -> float:
+        """By how much one more transfer from a cache is slowed; the location's other routers do as we do."""
+        return (self.load[be] * self.warm[Tier.CACHE].cold.routers + 1) / self._link(be)
 
     def _link(self, at: int) -> float:
         if self.rated:
@@ -714,8 +646,7 @@
 
     def _warm(self, at: int, weight: int, now: int) -> bool:
         warm = self.warm.get(self.roster.be[at].tier)
-        most = max(self._weight(vhost) for vhost in self.vhosts.values())
-        return warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, most, now)
+        return warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, now)
 
     def _source_ok(self, at: int, weight: int, now: int) -> bool:
         well = self.health.usable(at, self.naming[at], now) and self.health.full.get(at, 0) <= now
@@ -723,9 +654,8 @@
 
     def _rank(self, req: Req) -> int:
         """A first look may be the only one: what is asked for again is kept before it."""
-        key, (new, old) = (req.obj, req.part), self.seen
-        rank = 2 if key in new or key in old else 1
-        new.add(key)
-        if len(new) > ORDERS:
-            self.seen = (set(), new)
+        rank = 2 if (req.obj, req.part) in self.seen else 1
+        self.seen[req.obj, req.part] = None
+        if len(self.seen) > 2 * ORDERS:
+            del self.seen[next(iter(self.seen))]
         return rank
--- a/quartzrouter/drill/host.py
+++ b/quartzrouter/drill/host.py
@@ -97,8 +97,8 @@
         )
 
     def on_probe_done(self, event: dict[str, Any], now: int) -> None:
-        name, how = wire.need(event, "cache", str), wire.need(event, "how", str)
-        self.router.probed(name, how == "success", self.setup.report(event.get("load")), now)
+        name, ending = wire.need(event, "cache", str), wire.ending(event)
+        self.router.probed(name, ending, self.setup.report(event.get("load")), now)
 
     def on_fired(self, event: dict[str, Any], now: int) -> None:
         tag = wire.need(event, "tag", int)
--- a/quartzrouter/drill/wire.py
+++ b/quartzrouter/drill/wire.py
@@ -164,11 +164,15 @@
     )
 
 
+def ending(event: dict[str, Any]) -> Ending:
+    return ENDINGS.get(need(event, "how", str), Ending.ERROR)
+
+
 def outcome(event: dict[str, Any]) -> Outcome:
     note = event.get("note") or 0
     return Outcome(
         hop=need(event, "hop", int),
-        ending=ENDINGS.get(need(event, "how", str), Ending.ERROR),
+        ending=ending(event),
         elapsed=need(event, "time_taken_us", int),
         told=Told(note) if note in Told._value2member_map_ else Told.NOTHING,
         over=bool(event.get("ended")),
