Read over: grow the lists in place, plainer guards, no second microsecond constant

Roster copied its two lists for each server it learnt of; it appends again. may_send leaves early instead of reckoning the repeat window of a req that is not bound; a name used once is gone; the room check and two comments say what they mean; the tests take the second from the module.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -37,7 +37,7 @@
 OUT_FOR = 1 * S  # first ejection; doubled at each relapse
 OUT_MOST = 8 * S  # the longest one: shorter than most troubles, so that a return is soon seen
 TRUSTED_AFTER = 4  # good answers on trial
-PROBE_EVERY = 500 * MS  # of what is out for not being reached: cheap beside the reqs it saves
+PROBE_EVERY = 500 * MS  # of what is out or doubted: cheap beside the reqs it saves
 COLD_SHARE = 0.6  # of a cold budget that is used: sizes clump, and other routers' shares may too
 FILLS_START, FILLS_LEAST, FILLS_MOST = 50.0, 6.0, 200.0  # known misses of all that a source fills in trouble
 FILL_GROWTH = 0.25  # of a limit, by each timely fill, at most
@@ -95,7 +95,8 @@
         for line in lines:
             at = self.index.setdefault(line.name, len(self.be))
             if at == len(self.be):
-                self.be, self.started = [*self.be, line], [*self.started, 0]
+                self.be.append(line)
+                self.started.append(0)
             if line.state != self.be[at].state:
                 log.info("%s is %s", line.name, line.state.value)
             self.be[at] = line
@@ -210,7 +211,7 @@
         self.unreached: dict[int, int] = {}  # when a connection last failed
         self.full: dict[int, int] = {}  # refused lately: until when that counts
         self.probe_at: dict[int, int] = {}
-        self.asked: dict[int, int] = {}  # when it was last probed
+        self.asked: dict[int, int] = {}  # when its last probe was due
 
     def good(self, at: int) -> None:
         marks = self.marks.setdefault(at, [0, 0])
@@ -355,9 +356,10 @@
         taken = flight.over or flight.streaming or flight.out
         if taken or flight.hops >= self.most or now >= flight.deadline:
             return False
-        known = flight.vhost.effect is Effect.UNIQUED
-        kept = known and flight.ran and now < flight.ran[0] + flight.vhost.repeats_for - REPEAT_MARGIN
-        return kept or not self.bound(flight)
+        if not self.bound(flight):
+            return True
+        until = flight.ran[0] + flight.vhost.repeats_for - REPEAT_MARGIN
+        return flight.vhost.effect is Effect.UNIQUED and now < until
 
     def may_reach(self, flight: Flight, be: Listed) -> bool:
         if not self.bound(flight) or flight.vhost.repeats_within == "all":
@@ -543,10 +545,9 @@
             self.sending[flight.req.vhost].add(outcome.elapsed / max(1.0, sent.shared))
         if sent.source == sent.be or told is Told.HIT or self.roster.be[sent.be].tier is not Tier.CACHE:
             return
-        filled = sent.miss or told is not Told.NOTHING
         timely = ending is Ending.DONE and outcome.elapsed <= self._target(flight)
         late = ending in (Ending.DONE, Ending.LATE) and not timely
-        if timely and filled:
+        if timely and (sent.miss or told is not Told.NOTHING):
             self.fills.came(sent.source)
         elif late or told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.NO_PLACE, Told.ORIGIN_LOST):
             self.fills.failed(sent.source, now)
@@ -631,9 +632,7 @@
         if self.fills.troubled(now) or self._in_time(flight, be, now):
             return False
         caches, routers = self.roster.peers[Tier.CACHE], self.warm[Tier.CACHE].cold.routers
-        return (
-            sum(self.load[at] * routers - ROOM * self._link(at) for at in caches) < 0
-        )  # room for a copy more
+        return sum(self.load[at] * routers - ROOM * self._link(at) for at in caches) < 0  # room for a copy
 
     def _shared(self, be: int) -> float:
         """By how much one more transfer from a cache is slowed; the location's other routers do as we do."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,8 +5,6 @@
 from quartzrouter import control
 from quartzrouter.interface import Ending, Told
 
-S = 1_000_000
-
 
 def test_walk_grows_past_busy_caches_and_shrinks_after_quiet(drive):
     for n in range(10):
@@ -146,7 +144,7 @@
     for routers in (1, 10, 100):
         fills = control.Fills(start=50, least=5, most=200, routers=routers)
         for n in range(9):
-            fills.failed(0, n * S)
+            fills.failed(0, n * control.S)
         taken = 0
         for router in range(routers):
             fills.out[0] = 0
