--- /dev/null
+++ b/quartzrouter/briefing.py
@@ -0,0 +1,187 @@
+"""What is told at start: read, checked and given defaults here alone, for drill and real router alike.
+
+The names are those that the two get; what cannot be used is Unusable, with the key at fault in its text.
+Unknown keys are passed over.
+"""
+
+import ipaddress
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from quartzrouter.interface import ColdStart, Effect, Permits, Tier, VHost
+
+EFFECTS = {"retryable": Effect.REPLAYABLE, "dedup": Effect.UNIQUED, "fragile": Effect.NON_REPLAYABLE}
+NUMBER = (int, float)
+MOST = 1 << 62  # us, or whatever else a whole number counts
+
+
+class Unusable(ValueError):
+    """Something told at start that cannot be used."""
+
+
+class Section:
+    """A part of what is told, which knows by what name to complain."""
+
+    def __init__(self, told: Any, name: str = ""):
+        if not isinstance(told, dict):
+            raise Unusable(f"{name or 'the whole'} is no object")
+        self.told, self.name = told, name
+
+    def key(self, key: str) -> str:
+        return f"{self.name}.{key}" if self.name else key
+
+    def need(self, key: str, *kinds: type, least: float = -MOST, most: float = MOST) -> Any:
+        value = self.told.get(key)
+        if value is None:
+            raise Unusable(f"{self.key(key)} is missing")
+        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
+            raise Unusable(f"{self.key(key)} is {value!r:.60}")
+        if isinstance(value, NUMBER) and not least <= value <= most:
+            raise Unusable(f"{self.key(key)} is {value}, out of range")
+        return value
+
+    def may(self, key: str, default: Any, *kinds: type, least: float = -MOST, most: float = MOST) -> Any:
+        return default if self.told.get(key) is None else self.need(key, *kinds, least=least, most=most)
+
+    def count(self, key: str, default: int = 0, least: int = 0) -> int:
+        return self.may(key, default, int, least=least)
+
+    def figure(self, key: str, default: float = 0.0, most: float = MOST) -> float:
+        return float(self.may(key, default, *NUMBER, least=0, most=most))
+
+    def part(self, key: str) -> "Section":
+        return Section(self.may(key, {}, dict), self.key(key))
+
+    def parts(self, key: str) -> list["Section"]:
+        return [Section(part, f"{self.key(key)}[{n}]") for n, part in enumerate(self.may(key, [], list))]
+
+    def at(self, key: str, n: int, default: Any, *kinds: type) -> Any:
+        """One place of a list that goes by vhost or zone, and may be too short."""
+        row = self.may(key, [], list)
+        return Section({f"{n}": row[n] if n < len(row) else None}, self.key(key)).may(f"{n}", default, *kinds)
+
+
+class Briefing:
+    """The deployment's figures, as the arguments that a Router takes and what else its host goes by."""
+
+    def __init__(self, told: Any, seed: int):
+        setup = Section(told, "settings")
+        fam, limits, rules = setup.part("family_info"), setup.part("limits"), setup.part("rules")
+        self.zones: list[str] = setup.may("zones", [], list)
+        self.models: list[str] = setup.may("models", [], list)
+        self.parent_kind, self.origin_kind = (
+            self._model(fam.may(key, -1, int)) for key in ("shield_kind", "store_kind")
+        )
+        self.connect_within = limits.count("dial_timeout_us", 400_000, least=1)
+        self.idle_most = limits.count("conn_idle_us", 15_000_000, least=1)
+        self.fields: list[str] = setup.part("load_report").may("fields", [], list)
+        home = setup.may("zone", "", str)
+        served = self.zones.index(home) if home in self.zones else len(self.zones)
+        everyone = setup.count("peers_total", 1, least=1)
+        window = rules.count("tip_after_us", 1_000_000, least=1)
+        multiple = rules.figure("tip_multiple") or 1.0
+        self.vhosts = [self._vhost(n, band, fam) for n, band in enumerate(setup.parts("categories"))]
+        self.arguments = {
+            "me": setup.count("me"),
+            "seed": seed,
+            "home": home,
+            "vhosts": self.vhosts,
+            "permits": Permits(
+                dispatches=limits.count("try_limit", 1, least=1),
+                pass_through=fam.may("pass_through_ok", False, bool),
+                joins=fam.may("shares_fills", True, bool),
+                siblings=fam.may("sideways", "silent", str) != "silent",
+                probes=limits.may("probes", False, bool),
+                call_off=limits.may("cancel", False, bool),
+                longest_wait=limits.count("max_retry_after_us") * limits.may("retry_after", False, bool),
+                subscribe=setup.may("discovery", "pushed", str) == "on_request",
+            ),
+            "cold_cache": ColdStart(
+                floor=rules.figure("cold_from", most=1),
+                ramp=rules.count("ramp_time_us"),
+                multiple=multiple,
+                window=window,
+                routers=max(1, fam.at("zone_balancers", served, 0, int) or everyone),
+            ),
+            "cold_parent": ColdStart(
+                floor=fam.figure("parent_floor", most=1),
+                ramp=fam.count("parent_cold_us"),
+                multiple=fam.figure("parent_fall_multiple") or multiple,
+                window=window,
+                routers=everyone,
+            ),
+            "purge_life": fam.count("gone_everywhere_us"),
+            "pace": fam.figure("flow_kb_per_s"),
+            "rated": setup.may("weights", "silent", str) != "silent",
+        }
+
+    def _model(self, place: int) -> str | None:
+        return self.models[place] if 0 <= place < len(self.models) else None
+
+    @staticmethod
+    def _vhost(n: int, band: Section, fam: Section) -> VHost:
+        timeout = band.count("deadline_us", least=1)
+        return VHost(
+            name=band.need("name", str),
+            effect=EFFECTS.get(band.may("effect", "", str), Effect.NON_REPLAYABLE),
+            value=band.figure("worth"),
+            first_byte_target=band.count("aim_us") or timeout,
+            target_stretch=band.figure("aim_stretch"),
+            client_timeout=timeout,
+            late_share=band.figure("late_share"),
+            repeats_within=band.may("group", "cell", str),
+            repeats_for=band.count("window_us"),
+            fresh_for=fam.at("good_for_us", n, 0, int),
+            grace_for=fam.at("grace_for_us", n, 0, int),
+            old_share=float(fam.at("class_stale_worth", n, 0.0, *NUMBER)),
+            never_kept=fam.at("never_kept", n, False, bool),
+        )
+
+    def tier(self, kind: str) -> Tier:
+        if kind == self.parent_kind:
+            return Tier.PARENT
+        return Tier.ORIGIN if kind == self.origin_kind else Tier.CACHE
+
+
+def address(text: Any, key: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise Unusable(f"{key} is {text!r:.60}, no address") from None
+    if not port.isdecimal() or not 0 < int(port) < 1 << 16:
+        raise Unusable(f"{key} is {text!r:.60}, no port")
+    return host.strip("[]"), int(port)
+
+
+class Post:
+    """Where one router stands: its name and addresses, its limits and the journal up to now."""
+
+    def __init__(self, environ: Mapping[str, str]):
+        path = environ.get("NODE_CONFIG")
+        if not path:
+            raise Unusable("NODE_CONFIG is missing")
+        try:
+            with open(path, "rb") as file:
+                told = Section(orjson.loads(file.read()))
+        except OSError as error:
+            raise Unusable(f"NODE_CONFIG: {path}: {error.strerror}") from None
+        except orjson.JSONDecodeError as error:
+            raise Unusable(f"NODE_CONFIG: {path} is not JSON: {error}") from None
+        self.name = environ.get("NODE_NAME") or told.may("name", "?", str)
+        self.listen = address(environ.get("NODE_LISTEN") or told.need("listen", str), "listen")
+        self.journal = address(told.need("journal", str), "journal")
+        seed = told.need("seed", str)
+        try:
+            self.seed = int(seed, 16)
+        except ValueError:
+            raise Unusable(f"seed is {seed!r:.60}") from None
+        self.sockets = told.part("limits").may("sockets", 1024, int, least=64)
+        known = told.part("known")
+        self.position = known.count("pos")
+        self.known = [part.told for part in known.parts("entries")]
+        self.briefing = Briefing(told.need("settings", dict), self.seed)
+        if not self.briefing.vhosts:
+            raise Unusable("settings.categories is empty")
--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -428,9 +428,10 @@
             self.roster.started[at] = max(self.roster.started[at], self.health.unreached.pop(at))
             log.info("%s answers again and is taken for cold", name)
 
-    def begun(self, req_id: int) -> None:
-        if req_id in self.flights:
-            self.flights[req_id].streaming = True
+    def begun(self, req_id: int) -> int | None:  # until when it may last; no other dispatch follows
+        if flight := self.flights.get(req_id):
+            flight.streaming = True
+        return flight and flight.deadline
 
     def left(self, req_id: int) -> int | None:
         """The client has gone; returns the hop to call off, if any."""
@@ -438,7 +439,7 @@
         if flight is None or flight.over:
             return None
         self._end(flight)
-        return next(iter(flight.out), None) if self.permits.call_off and not flight.streaming else None
+        return next(iter(flight.out), None) if self.permits.call_off else None
 
     def route(self, req: Req, now: int) -> Answer | None:
         flight = self.flights.get(req.id)
@@ -467,10 +468,10 @@
         return None
 
     def wait(self, now: int) -> Wait:
-        probes = self.health.due(now) if self.permits.probes else []
+        probes = (self.roster.be[at].name for at in self.health.due(now) if self.permits.probes)
         subscribe = self.subscribe_at <= now
         self.subscribe_at = NEVER if subscribe else self.subscribe_at
-        return Wait(PROBE_EVERY // 2, tuple(self.roster.be[at].name for at in probes), subscribe)
+        return Wait(PROBE_EVERY // 2, tuple(probes), PROBE_EVERY // 2, subscribe)
 
     def _next(self, flight: Flight, now: int) -> Answer:
         if flight.vhost is None or not self.retries.may_send(flight, now):
--- a/quartzrouter/drill/host.py
+++ b/quartzrouter/drill/host.py
@@ -1,4 +1,4 @@
-"""Hosts the instances: events become calls, results become actions; keeps timers and the reqs in hand."""
+"""Hosts the instances: events become calls, results become actions."""
 
 import logging
 import sys
@@ -8,10 +8,10 @@
 import orjson
 
 from quartzrouter import control
+from quartzrouter.briefing import Briefing, Unusable
+from quartzrouter.desk import Desk
 from quartzrouter.drill import wire
-from quartzrouter.interface import Abort, Answer, Deny, Dispatch, Hold, Req
-
-ASK_WAIT = 0  # the tag of the timer for wait(); reqs on hold have tags from 1
+from quartzrouter.interface import Dispatch
 
 
 class Notes(logging.Handler):
@@ -25,38 +25,37 @@
         self.lines.append(record.getMessage())
 
 
-class Instance:
+class Instance(Desk):
     def __init__(self, event: dict[str, Any]):
-        self.setup = wire.Setup(event)
-        self.router = control.Router(**self.setup.arguments)
-        self.reqs: dict[int, Req] = {}
-        self.held: dict[int, int] = {}  # timer tag: req id
-        self.tags = ASK_WAIT
-        self.wait_due: int | None = None
+        self.briefing = Briefing(wire.need(event, "setup", dict), wire.need(event, "prng", int))
+        super().__init__(control.Router(**self.briefing.arguments))
         self.actions: list[dict[str, Any]] = []
 
     def act(self, **action: Any) -> None:
         self.actions.append(action)
 
-    def timer(self, time: int, tag: int) -> None:
-        self.act(t="WAKE_AT", wait_us=time, tag=tag)
-
-    def answer(self, req_id: int, answer: Answer | None) -> None:
-        match answer:
-            case Dispatch():
-                self.actions.append(wire.dispatch(req_id, answer))
-            case Hold(ask_again=time):
-                self.tags += 1
-                self.held[self.tags] = req_id
-                self.timer(time, self.tags)
-            case Deny(come_back=time):
-                self.reqs.pop(req_id, None)
-                self.act(t="REJECT", op_id=req_id, stay_away_us=time)
-            case Abort():
-                self.reqs.pop(req_id, None)
-                self.act(t="REPORT_FAILURE", op_id=req_id)
-
-    def take(self, event: dict[str, Any], now: int) -> None:
+    def dispatch(self, req_id: int, answer: Dispatch, now: int) -> None:
+        self.actions.append(wire.dispatch(req_id, answer))
+
+    def call_off(self, req_id: int, hop: int, now: int) -> None:
+        self.act(t="CALL_OFF", op_id=req_id, hop=hop)
+
+    def deny(self, req_id: int, come_back: int) -> None:
+        self.act(t="REJECT", op_id=req_id, stay_away_us=come_back)
+
+    def abort(self, req_id: int) -> None:
+        self.act(t="REPORT_FAILURE", op_id=req_id)
+
+    def probe(self, name: str, timeout: int) -> None:
+        self.act(t="HEALTH_CHECK", cache=name)
+
+    def subscribe(self) -> None:
+        self.act(t="KEEP_INFORMED", on=True)
+
+    def timer(self, due: int, now: int, tag: int) -> None:
+        self.act(t="WAKE_AT", wait_us=due - now, tag=tag)
+
+    def hear(self, event: dict[str, Any], now: int) -> None:
         handler = getattr(self, "on_" + event["t"].lower(), None)
         if handler is not None:
             handler(event, now)
@@ -66,30 +65,20 @@
         if how == "refused":
             self.router.list_failed(now)
         else:
-            lines = [self.setup.listed(entry) for entry in wire.need(event, "nodes_list", list)]
+            lines = [wire.listed(entry, self.briefing) for entry in wire.need(event, "nodes_list", list)]
             self.router.heard(lines, how != "changes", now)
 
     def on_demand(self, event: dict[str, Any], now: int) -> None:
-        req = wire.req(event)
-        self.reqs[req.id] = req
-        self.answer(req.id, self.router.route(req, now))
+        self.take(wire.req(event), now)
 
     def on_answer(self, event: dict[str, Any], now: int) -> None:
-        req_id, outcome = wire.need(event, "op_id", int), wire.outcome(event)
-        answer = self.router.after(req_id, outcome, now)
-        if outcome.over:
-            self.reqs.pop(req_id, None)
-        self.answer(req_id, answer)
+        self.ended(wire.need(event, "op_id", int), wire.outcome(event), now)
 
     def on_begun(self, event: dict[str, Any], now: int) -> None:
         self.router.begun(wire.need(event, "op_id", int))
 
     def on_dropped(self, event: dict[str, Any], now: int) -> None:
-        req_id = wire.need(event, "op_id", int)
-        self.reqs.pop(req_id, None)
-        hop = self.router.left(req_id)
-        if hop is not None:
-            self.act(t="CALL_OFF", op_id=req_id, hop=hop)
+        self.left(wire.need(event, "op_id", int), now)
 
     def on_superseded(self, event: dict[str, Any], now: int) -> None:
         self.router.purged(
@@ -98,24 +87,10 @@
 
     def on_probe_done(self, event: dict[str, Any], now: int) -> None:
         name, ending = wire.need(event, "cache", str), wire.ending(event)
-        self.router.probed(name, ending, self.setup.report(event.get("load")), now)
+        self.router.probed(name, ending, wire.report(event.get("load"), self.briefing.fields), now)
 
     def on_fired(self, event: dict[str, Any], now: int) -> None:
-        tag = wire.need(event, "tag", int)
-        req = self.reqs.get(self.held.pop(tag, -1))
-        if req is not None:
-            self.answer(req.id, self.router.route(req, now))
-
-    def finish(self, now: int) -> None:
-        """Asks how long to wait, once in a batch, and keeps one timer for it."""
-        wait = self.router.wait(now)
-        for name in wait.probes:
-            self.act(t="HEALTH_CHECK", cache=name)
-        if wait.subscribe:
-            self.act(t="KEEP_INFORMED", on=True)
-        if self.wait_due is None or self.wait_due <= now or now + wait.time < self.wait_due:
-            self.wait_due = now + wait.time
-            self.timer(wait.time, ASK_WAIT)
+        self.fired(wire.need(event, "tag", int), now)
 
 
 class Host:
@@ -140,18 +115,18 @@
                     touched.pop(router, None)
                 if router in self.instances:
                     touched[router] = None
-                    self._call(router, replies, "take", event, now)
-            except wire.Malformed as error:
+                    self._call(router, replies, "hear", event, now)
+            except (wire.Malformed, Unusable) as error:
                 raise wire.Malformed(f"{event['t']}: {error}") from None
         for router in touched:
-            self._call(router, replies, "finish", now)
+            self._call(router, replies, "ask_wait", now)
         return replies
 
     def _call(self, router: str, replies: list[dict[str, Any]], what: str, *arguments: Any) -> None:
         instance = self.instances[router]
         try:
             getattr(instance, what)(*arguments)
-        except wire.Malformed:
+        except (wire.Malformed, Unusable):
             raise
         except Exception as error:
             traceback.print_exc(file=sys.stderr)
--- a/quartzrouter/interface.py
+++ b/quartzrouter/interface.py
@@ -180,4 +180,5 @@
 class Wait:
     time: int  # until wait() wants to be asked again
     probes: tuple[str, ...]
+    probe_timeout: int  # what has not answered by then hangs
     subscribe: bool  # ask for the cache list now
--- /dev/null
+++ b/quartzrouter/net/answer.py
@@ -0,0 +1,48 @@
+"""From an outcome to what the client reads: Status, headers, body."""
+
+import math
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    413: "Content Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+}
+
+
+def head(status: int, length: int | None, **fields: str) -> bytes:
+    lines = [f"Status: {status} {REASONS[status]}", "Content-Type: application/octet-stream"]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def done(length: int | None) -> bytes:
+    return head(200, length)
+
+
+def still_good() -> bytes:
+    """The copy that the client holds is the one."""
+    return head(200, 0, X_Valid="1")
+
+
+def denied(come_back: int) -> bytes:
+    fields = {"X_Pushback_Ms": str(math.ceil(come_back / 1000))} if come_back else {}
+    return head(503, 0, **fields)
+
+
+def aborted() -> bytes:
+    return head(502, 0)
+
+
+def refused(status: int, why: str) -> bytes:
+    """A req that can't be used; why is for whoever wrote it."""
+    body = why.encode()
+    return head(status, len(body)) + body
+
+
+def health(well: bool) -> bytes:
+    return head(200 if well else 503, 0)
--- /dev/null
+++ b/quartzrouter/net/front.py
@@ -0,0 +1,274 @@
+"""The clients' connections: records in, reqs out; answers in turns, so that a long one holds nobody up."""
+
+import contextlib
+import re
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+
+from quartzrouter.net import answer, fastcgi
+from quartzrouter.net.reducer import Asked, Call, Came, Event, Left
+from quartzrouter.net.report import Report
+from quartzrouter.net.ring import Ring
+
+OUTGOING = 1 << 15  # bytes that wait for a client's socket, beside one piece for each of its reqs
+OPEN_MOST = 32  # reqs on one connection
+PARAMS_MOST = 1 << 14  # bytes
+BODY_MOST = 48_000  # bytes
+TIMEOUT_MOST = 3_600_000  # ms; a longer one is no figure
+STUCK_AFTER = 10.0  # s in which a client takes no byte of what is owed: then it counts as gone
+TOKEN = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
+KEY = re.compile(r"[0-9a-f]{32}", re.ASCII | re.IGNORECASE)
+NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
+
+
+class Intake:
+    """A req of which records are still coming."""
+
+    def __init__(self, keep: bool):
+        self.keep, self.named = keep, False
+        self.params, self.body = bytearray(), bytearray()
+        self.status = 0  # of the final answer, once it can't be used
+
+    def add(self, kind: int, data: bytes) -> bool:
+        """Takes content in; whether the req is whole."""
+        most, into = (PARAMS_MOST, self.params) if kind == fastcgi.PARAMS else (BODY_MOST, self.body)
+        if not data:
+            self.named |= kind == fastcgi.PARAMS
+            return kind == fastcgi.STDIN
+        if len(into) + len(data) > most:
+            self.status = 413
+        elif not self.status:
+            into += data
+        return False
+
+
+class Unusable(ValueError):
+    """A req that gets its final answer at once."""
+
+
+def call(params: dict[str, str], body: bytes, uniqued: Callable[[str], bool | None]) -> Call:
+    """The req that a client sent; uniqued tells of a vhost whether it is, and None where there is none."""
+
+    def field(name: str, form: re.Pattern[str]) -> str:
+        value = params.get("HTTP_" + name.upper().replace("-", "_"), "")
+        if not form.fullmatch(value):
+            raise Unusable(f"{name} is {value!r:.40}")
+        return value
+
+    def maybe(name: str, form: re.Pattern[str]) -> str | None:
+        return field(name, form) if "HTTP_" + name.upper().replace("-", "_") in params else None
+
+    path, _, vhost = params.get("SCRIPT_NAME", "").rpartition("/")
+    keyed = uniqued(vhost) if path == "/rpc" else None
+    if keyed is None:
+        raise LookupError
+    timeout, group = int(field("X-Deadline-Ms", NUMBER)), maybe("X-Tag", NUMBER)
+    if not 0 < timeout <= TIMEOUT_MOST:
+        raise Unusable(f"X-Deadline-Ms is {timeout}")
+    if group and int(group) > 255:
+        raise Unusable(f"X-Tag is {group}")
+    return Call(
+        id=field("X-Correlation-Id", TOKEN),
+        vhost=vhost,
+        obj=field("X-Subject", TOKEN),
+        part=int(maybe("X-Chunk", NUMBER) or 0),
+        group=int(group) if group else None,
+        timeout=timeout * 1000,
+        key=field("X-Operation-Key", KEY) if keyed else maybe("X-Operation-Key", KEY),
+        held=maybe("X-Known", TOKEN),
+        body=body,
+    )
+
+
+class Seat:
+    """One client's connection: its reqs by record id, and what is to be written to it."""
+
+    def __init__(self, front: "Front", stream: anyio.abc.ByteStream):
+        self.front, self.stream = front, stream
+        self.incoming, self.outgoing = Ring(fastcgi.RECORD_MOST), Ring(OUTGOING)
+        self.intakes: dict[int, Intake] = {}
+        self.tickets: dict[int, int] = {}  # record id: ticket, for reqs that are owed an answer
+        self.owed: dict[int, tuple[int, bool]] = {}  # ticket: record id, keep the connection
+        self.turns: deque[tuple[int, deque[bytes]]] = deque()  # records that wait, by ticket
+        self.waiting: dict[int, deque[bytes]] = {}
+        self.emptied: dict[int, anyio.Event] = {}
+        self.more = anyio.Event()
+        self.closing = False
+
+    # -- reading -----------------------------------------------------------------------------------
+
+    async def read(self) -> None:
+        while not self.closing:
+            self.incoming.put(await self.stream.receive(self.incoming.free))
+            while (record := fastcgi.next_record(self.incoming)) is not None:
+                self._take(record)
+
+    def _take(self, record: fastcgi.Record) -> None:
+        kind, id, content = record
+        if id == 0:
+            if kind == fastcgi.GET_VALUES:
+                known = {
+                    "FCGI_MAX_CONNS": self.front.most, "FCGI_MAX_REQS": self.front.most * OPEN_MOST,
+                    "FCGI_MPXS_CONNS": 1,
+                }  # fmt: skip
+                self.write(0, [fastcgi.values(fastcgi.pairs(content), known)])
+            else:
+                self.write(0, [fastcgi.unknown(kind)])
+        elif kind == fastcgi.BEGIN:
+            self._begin(id, content)
+        elif kind == fastcgi.ABORT:
+            self._abort(id)
+        elif kind in (fastcgi.PARAMS, fastcgi.STDIN):
+            intake = self.intakes.get(id)
+            if intake is not None and intake.add(kind, content):
+                del self.intakes[id]
+                self._whole(id, intake)
+        elif kind != fastcgi.DATA:
+            raise fastcgi.Broken(f"a record of type {kind} for req {id}")
+
+    def _begin(self, id: int, content: bytes) -> None:
+        if len(content) != 8:
+            raise fastcgi.Broken("BEGIN_REQUEST of a wrong length")
+        if id in self.intakes or id in self.tickets:
+            raise fastcgi.Broken(f"record id {id} is taken")
+        if content[0] << 8 | content[1] != fastcgi.RESPONDER:
+            self.write(0, [fastcgi.end(id, protocol=fastcgi.UNKNOWN_ROLE)])
+        elif len(self.intakes) + len(self.tickets) >= OPEN_MOST:
+            self.write(0, [fastcgi.end(id, protocol=fastcgi.OVERLOADED)])
+        else:
+            self.intakes[id] = Intake(bool(content[2] & fastcgi.KEEP_CONN))
+
+    def _abort(self, id: int) -> None:
+        if self.intakes.pop(id, None) is not None:
+            self.write(0, [fastcgi.end(id, whole=False)])
+        elif (ticket := self.tickets.get(id)) is not None:
+            self.waiting.pop(ticket, None)
+            self.front.feed(Left(ticket))
+            self.reply(ticket, b"", last=True, whole=False)
+
+    def _whole(self, id: int, intake: Intake) -> None:
+        ticket = self.front.ticket(self)
+        self.tickets[id], self.owed[ticket] = ticket, (id, intake.keep)
+        try:
+            if intake.status:
+                raise Unusable("too long")
+            params = fastcgi.pairs(bytes(intake.params))
+            if params.get("SCRIPT_NAME") == "/health":
+                self.front.feed(Asked(ticket))
+            else:
+                self.front.feed(Came(ticket, call(params, bytes(intake.body), self.front.uniqued)))
+        except LookupError:
+            self.reply(ticket, answer.refused(404, "no such vhost"))
+        except (Unusable, fastcgi.Broken) as error:
+            self.front.report.say("client", f"a req that can't be used: {error}")
+            self.reply(ticket, answer.refused(intake.status or 400, str(error)))
+
+    # -- writing -----------------------------------------------------------------------------------
+
+    def reply(self, ticket: int, data: bytes, last: bool = True, whole: bool = True) -> None:
+        if ticket not in self.owed:
+            return
+        id, keep = self.owed[ticket]
+        records = fastcgi.stdout(id, data)
+        if last:
+            del self.owed[ticket], self.tickets[id]
+            self.front.seats.pop(ticket, None)
+            if not whole:
+                self.waiting.pop(ticket, None)
+            records += ([fastcgi.record(fastcgi.STDOUT, id, b"")] if whole else []) + [fastcgi.end(id, whole)]
+            self.closing |= not keep
+        self.write(ticket, records)
+
+    def write(self, ticket: int, records: list[bytes]) -> None:
+        if ticket not in self.waiting:
+            self.waiting[ticket] = deque()
+            self.turns.append(ticket)
+        self.waiting[ticket] += records
+        self.more.set()
+
+    async def room(self, ticket: int) -> None:
+        """Waits until what a req has given is on its way."""
+        while ticket in self.waiting:
+            await self.emptied.setdefault(ticket, anyio.Event()).wait()
+
+    async def flush(self) -> None:
+        """Moves records to the ring, one for each req in turn, and the ring to the socket."""
+        while True:
+            while self.turns:
+                ticket = self.turns[0]
+                records = self.waiting.get(ticket)
+                if records and len(records[0]) > self.outgoing.free:
+                    break
+                self.turns.popleft()
+                if records:
+                    self.outgoing.put(records.popleft())
+                if records:
+                    self.turns.append(ticket)
+                else:
+                    self.waiting.pop(ticket, None)
+                    if ticket in self.emptied:
+                        self.emptied.pop(ticket).set()
+            if len(self.outgoing):
+                with anyio.fail_after(STUCK_AFTER):
+                    await self.stream.send(self.outgoing.take(OUTGOING))
+            elif self.closing and not self.owed:
+                return
+            elif not self.turns:
+                self.more = anyio.Event()
+                await self.more.wait()
+
+    def leave(self) -> None:
+        for ticket in list(self.owed):
+            self.front.seats.pop(ticket, None)
+            self.front.feed(Left(ticket))
+        self.owed.clear()
+        self.waiting.clear()
+        for event in self.emptied.values():
+            event.set()
+
+
+class Front:
+    def __init__(
+        self, feed: Callable[[Event], None], most: int, uniqued: Callable[[str], bool | None], report: Report
+    ):
+        self.feed, self.most, self.uniqued, self.report = feed, most, uniqued, report
+        self.tickets = 0
+        self.seats: dict[int, Seat] = {}  # by ticket
+        self.open = 0
+
+    def ticket(self, seat: Seat) -> int:
+        self.tickets += 1
+        self.seats[self.tickets] = seat
+        return self.tickets
+
+    async def serve(self, stream: anyio.abc.ByteStream) -> None:
+        """One connection, from its accept to its end."""
+        if self.open >= self.most:
+            self.report.say("client", "no room for a further connection")
+            await anyio.aclose_forcefully(stream)
+            return
+        self.open += 1
+        seat = Seat(self, stream)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._flush, seat, tasks)
+                try:
+                    await seat.read()
+                except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    pass
+                except fastcgi.Broken as error:
+                    self.report.say("client", f"connection ended: {error}")
+                tasks.cancel_scope.cancel()
+        except Exception as error:
+            self.report.say("client", f"connection ended: {type(error).__name__}: {error}")
+        finally:
+            self.open -= 1
+            seat.leave()
+            await anyio.aclose_forcefully(stream)
+
+    async def _flush(self, seat: Seat, tasks: anyio.abc.TaskGroup) -> None:
+        with contextlib.suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await seat.flush()
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/quartzrouter/net/journal.py
@@ -0,0 +1,137 @@
+"""The journal service: what `known` and frames say, and a connection that comes back from the last number."""
+
+import random
+import struct
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import anyio
+
+from quartzrouter.briefing import Briefing, Unusable, address
+from quartzrouter.interface import Listed, State
+from quartzrouter.net.report import Report
+from quartzrouter.net.ring import Ring
+
+MS = 1_000
+NOTHING, WHOLE, CHANGES, OBJECT, GROUP = range(5)
+HEAD = struct.Struct(">IQB")
+LINE = struct.Struct(">IIHBBBHIQ")
+RING = 1 << 16  # bytes; a list of 2,400 lines
+LENGTH_MOST = RING - 4
+SILENT_AFTER = 3.5  # s: three empty frames and a half have not come
+PAUSE, PAUSE_MOST = 0.1, 3.0  # s before the second try to connect, and at most
+STATES = {"SERVING": State.UP, "DRAINING": State.DRAINING, "DELETED": State.GONE}
+BY_NUMBER = (State.UP, State.DRAINING, State.GONE)
+
+
+class Lines(NamedTuple):
+    """Lines of the cache list, and the addresses of the caches by id."""
+
+    lines: list[Listed]
+    addresses: dict[str, tuple[str, int]]
+    whole: bool
+
+
+class Purge(NamedTuple):
+    group: int | None
+    obj: str | None
+    when: int  # us
+
+
+class Spoilt(Exception):
+    """Bytes that no journal service writes; stops at the connection."""
+
+
+def known(entries: list[dict[str, Any]], briefing: Briefing) -> list[Lines | Purge]:
+    """The events present at start."""
+    found: list[Lines | Purge] = []
+    for n, entry in enumerate(entries):
+        where = f"known.entries[{n}]"
+        try:
+            if hosts := entry.get("hosts"):
+                lines, addresses = [], {}
+                for host in hosts["members"]:
+                    name, kind = host["id"], host["flavor"]
+                    addresses[name] = address(host["host_port"], f"{where}: host_port of {name}")
+                    state = STATES.get(host["phase"], State.DRAINING)
+                    started = (host.get("up_since_ms") or 0) * MS
+                    lines.append(
+                        Listed(name, host["locality"], briefing.tier(kind), kind, host["cell"], state,
+                               float(host["size"]), started)
+                    )  # fmt: skip
+                found.append(Lines(lines, addresses, bool(hosts.get("complete"))))
+            elif purge := entry.get("expire"):
+                found.append(Purge(purge.get("set"), purge.get("name"), purge["stamp"] * MS))
+        except KeyError as error:
+            raise Unusable(f"{where}: {error.args[0]} is missing") from None
+        except (TypeError, AttributeError, ValueError) as error:
+            raise error if isinstance(error, Unusable) else Unusable(f"{where}: {error}") from None
+    return found
+
+
+def next_frame(ring: Ring) -> tuple[int, int, bytes] | None:
+    """Number, kind and payload of the next whole frame, or None until there is one."""
+    if len(ring) < HEAD.size:
+        return None
+    length, number, kind = HEAD.unpack(ring.peek(HEAD.size))
+    if not 9 <= length <= LENGTH_MOST:
+        raise Spoilt(f"a frame of {length} bytes")
+    if len(ring) < 4 + length:
+        return None
+    ring.drop(HEAD.size)
+    return number, kind, ring.take(length - 9)
+
+
+def frame(held: int, number: int, kind: int, payload: bytes, briefing: Briefing) -> Lines | Purge | None:
+    """What a frame says, given the number of the last event held."""
+    if number != held + (kind != NOTHING):
+        raise Spoilt(f"frame {number} of kind {kind} after {held}")
+    if kind == NOTHING:
+        return None
+    if kind in (WHOLE, CHANGES) and len(payload) % LINE.size == 0:
+        return _lines(payload, kind == WHOLE, briefing)
+    if kind == OBJECT and len(payload) == 16:
+        return Purge(None, payload[:8].hex(), int.from_bytes(payload[8:], "big") * MS)
+    if kind == GROUP and len(payload) == 10:
+        return Purge(int.from_bytes(payload[:2], "big"), None, int.from_bytes(payload[2:], "big") * MS)
+    raise Spoilt(f"frame {number} of kind {kind} with {len(payload)} bytes")
+
+
+def _lines(payload: bytes, whole: bool, briefing: Briefing) -> Lines:
+    lines, addresses = [], {}
+    for id, host, port, state, zone, model, cell, weight, started in LINE.iter_unpack(payload):
+        if state >= len(BY_NUMBER) or zone >= len(briefing.zones) or model >= len(briefing.models):
+            raise Spoilt(f"a line with state {state}, zone {zone}, kind {model}")
+        name, kind = f"s-{id:08x}", briefing.models[model]
+        addresses[name] = (".".join(str(byte) for byte in host.to_bytes(4, "big")), port)
+        lines.append(
+            Listed(name, briefing.zones[zone], briefing.tier(kind), kind, cell, BY_NUMBER[state],
+                   weight / 1000, started * MS)
+        )  # fmt: skip
+    return Lines(lines, addresses, whole)
+
+
+async def follow(
+    at: tuple[str, int], held: int, briefing: Briefing, feed: Callable[[Lines | Purge], None], report: Report
+) -> None:
+    """Feeds every later event, in order, for as long as it is left to run."""
+    pause = 0.0
+    while True:
+        await anyio.sleep(pause * random.uniform(0.5, 1.0))
+        pause = min(PAUSE_MOST, max(PAUSE, pause * 2))
+        try:
+            with anyio.fail_after(SILENT_AFTER):
+                stream = await anyio.connect_tcp(*at)
+            async with stream:
+                await stream.send(held.to_bytes(8, "big"))
+                ring = Ring(RING)
+                while True:
+                    with anyio.fail_after(SILENT_AFTER):
+                        ring.put(await stream.receive(ring.free))
+                    while (found := next_frame(ring)) is not None:
+                        said = frame(held, *found, briefing)
+                        held, pause = found[0], 0.0
+                        if said is not None:
+                            feed(said)
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, TimeoutError, Spoilt) as error:
+            report.say("journal", f"{type(error).__name__} {error} after event {held}, connecting anew")
--- /dev/null
+++ b/quartzrouter/net/progress.py
@@ -0,0 +1,35 @@
+"""Errors as values: how far a dispatch or a probe had come when it ended without an answer."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from quartzrouter.interface import Ending
+
+
+class Stage(IntEnum):
+    CONNECTING = 0
+    CONNECTED = 1  # nothing has gone out
+    ASKING = 2  # some bytes have, perhaps all
+    ANSWERED = 3  # the head of an answer has come
+
+
+class Cause(IntEnum):
+    REFUSED = 0  # or no connection within the told time
+    NO_ROOM = 1  # none of our own descriptors left
+    RESET = 2
+    MALFORMED = 3
+    DIED = 4  # the task that served it
+    LATE = 5
+
+
+class Failure(NamedTuple):
+    stage: Stage
+    cause: Cause
+    detail: str = ""
+
+    def ending(self) -> Ending:
+        if self.stage <= Stage.CONNECTED:
+            return Ending.NO_CONNECTION if self.cause is Cause.REFUSED else Ending.UNSENT
+        if self.cause is Cause.LATE:
+            return Ending.LATE
+        return Ending.ERROR if self.cause is Cause.MALFORMED else Ending.CUT
--- /dev/null
+++ b/quartzrouter/net/reducer.py
@@ -0,0 +1,410 @@
+"""All state changes of the real router: step(event, now) gives the effects, and touches nothing outside.
+
+It owns the Router, the reqs in hand, their hops, the timers and the probes in flight.  Reading and writing
+are effects that it asks for; what became of them comes back as events.
+"""
+
+import heapq
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from quartzrouter.briefing import Briefing
+from quartzrouter.control import Router
+from quartzrouter.desk import ASK_WAIT, Desk
+from quartzrouter.interface import Dispatch, Ending, Outcome, Req, State, Told
+from quartzrouter.net import answer
+from quartzrouter.net.journal import Lines, Purge
+from quartzrouter.net.progress import Failure
+
+MS = 1_000
+STOP_AFTER = 1_000 * MS  # us from SIGTERM: reqs keep arriving for 0.7 s, and a little for a busy machine
+DONE, SAME, LACKING, ERROR, FULL, OVER = 200, 304, 404, 500, 503, 504  # what a cache answers
+
+
+class Call(NamedTuple):
+    """A req as the client sent it."""
+
+    id: str
+    vhost: str
+    obj: str
+    part: int
+    group: int | None
+    timeout: int  # us
+    key: str | None = None
+    held: str | None = None  # the tag of the client's copy
+    body: bytes = b""
+    size_kb: float = 0.0
+
+
+# -- events ----------------------------------------------------------------------------------------
+
+
+class Came(NamedTuple):
+    ticket: int
+    call: Call
+
+
+class Left(NamedTuple):
+    """The client has gone, or has stopped waiting."""
+
+    ticket: int
+
+
+class Ready(NamedTuple):
+    """A connection is there; the next byte would be the first."""
+
+    ticket: int
+    hop: int
+
+
+class Head(NamedTuple):
+    ticket: int
+    hop: int
+    status: int
+    length: int | None
+    never_ran: bool
+    marked: bool  # with the tag and the time of the copy
+    told: Told
+
+
+class Data(NamedTuple):
+    ticket: int
+    hop: int
+    data: bytes
+
+
+class Over(NamedTuple):
+    """The dispatch has ended: with the whole of an answer, or with a failure."""
+
+    ticket: int
+    hop: int
+    failure: Failure | None = None
+
+
+class Probed(NamedTuple):
+    name: str
+    ending: Ending
+
+
+class Asked(NamedTuple):
+    """/health."""
+
+    ticket: int
+
+
+class Tick(NamedTuple):
+    pass
+
+
+class Stop(NamedTuple):
+    """SIGTERM."""
+
+
+Event = Came | Left | Ready | Head | Data | Over | Probed | Asked | Tick | Stop | Lines | Purge
+
+
+# -- effects ---------------------------------------------------------------------------------------
+
+
+class Open(NamedTuple):
+    """Get a connection for a dispatch, and say when it is ready."""
+
+    ticket: int
+    hop: int
+    name: str
+    address: tuple[str, int]
+
+
+class Write(NamedTuple):
+    """Send this on the connection that is ready, and read the answer."""
+
+    ticket: int
+    hop: int
+    target: str
+    fields: list[tuple[str, str]]
+    body: bytes
+
+
+class Drop(NamedTuple):
+    """Give the dispatch up: close its connection; nothing more is heard of it."""
+
+    ticket: int
+    hop: int
+
+
+class Reply(NamedTuple):
+    """Bytes for the client; with the last of them, whether the answer is whole."""
+
+    ticket: int
+    data: bytes
+    last: bool = True
+    whole: bool = True
+
+
+class Probe(NamedTuple):
+    name: str
+    address: tuple[str, int]
+    timeout: int
+
+
+class Forget(NamedTuple):
+    """Close what is pooled for a cache."""
+
+    name: str
+
+
+class Exit(NamedTuple):
+    pass
+
+
+Effect = Open | Write | Drop | Reply | Probe | Forget | Exit
+
+
+@dataclass(slots=True)
+class Going:
+    """The one dispatch of a req that is out."""
+
+    answer: Dispatch
+    since: int
+    until: int
+    ready: bool = False
+    stale: bool = False  # a drain or a purge came after it was decided
+    head: Head | None = None
+    passing: bool = False  # bytes of the answer have gone to the client
+
+
+@dataclass(slots=True)
+class InHand:
+    call: Call
+    gone: bool = False  # the client has; what is out may have to run on
+    going: Going | None = None
+
+
+class Reducer(Desk):
+    def __init__(self, briefing: Briefing):
+        super().__init__(Router(**briefing.arguments))
+        self.vhosts = {vhost.name: vhost for vhost in briefing.vhosts}
+        self.hands: dict[int, InHand] = {}
+        self.timers: list[tuple[int, int, tuple]] = []  # when due, a number that keeps the order, for what
+        self.numbers = 0
+        self.states: dict[str, State] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.probing: set[str] = set()
+        self.stopping = False
+        self.effects: list[Effect] = []
+
+    def step(self, event: Event, now: int) -> list[Effect]:
+        self.effects = []
+        match event:
+            case Came(ticket, call):
+                self._came(ticket, call, now)
+            case Left(ticket):
+                self._left(ticket, now)
+            case Ready(ticket, hop):
+                if going := self._going(ticket, hop):
+                    self._ready(ticket, going, now)
+            case Head(ticket, hop):
+                if going := self._going(ticket, hop):
+                    self._head(ticket, going, event, now)
+            case Data(ticket, hop, data):
+                if going := self._going(ticket, hop):
+                    self._data(ticket, going, data)
+            case Over(ticket, hop, failure):
+                if going := self._going(ticket, hop):
+                    self._over(ticket, going, failure, now)
+            case Lines():
+                self._heard(event, now)
+            case Purge(group, obj, when):
+                self.router.purged(group, obj, max(0, now - when), now)
+                for hand in self.hands.values():
+                    if hand.going and (hand.call.obj == obj if obj else hand.call.group == group):
+                        hand.going.stale = True
+            case Probed(name, ending):
+                self.probing.discard(name)
+                self.router.probed(name, ending, {}, now)
+            case Asked(ticket):
+                self.effects.append(Reply(ticket, answer.health(bool(self.states) and not self.stopping)))
+            case Stop():
+                self.stopping = True
+                self._timer(now + STOP_AFTER, "stop")
+        while self.timers and self.timers[0][0] <= now:
+            self._fire(heapq.heappop(self.timers)[2], now)
+        self.ask_wait(now)
+        return self.effects
+
+    @property
+    def due(self) -> int:
+        return self.timers[0][0]
+
+    # -- what the decisions ask for ----------------------------------------------------------------
+
+    def dispatch(self, req_id: int, given: Dispatch, now: int) -> None:
+        self.hands[req_id].going = Going(given, now, now + given.timeout)
+        self._timer(now + given.timeout, "hop", req_id, given.hop)
+        self.effects.append(Open(req_id, given.hop, given.be, self.addresses[given.be]))
+
+    def call_off(self, req_id: int, hop: int, now: int) -> None:
+        self._end(req_id, self.hands[req_id].going, Ending.CALLED_OFF, now)
+
+    def deny(self, req_id: int, come_back: int) -> None:
+        self._reply(req_id, answer.denied(come_back))
+
+    def abort(self, req_id: int) -> None:
+        self._reply(req_id, answer.aborted())
+
+    def probe(self, name: str, timeout: int) -> None:
+        if name not in self.probing:
+            self.probing.add(name)
+            self.effects.append(Probe(name, self.addresses[name], timeout))
+
+    def subscribe(self) -> None:
+        """The journal service tells without being asked."""
+
+    def timer(self, due: int, now: int, tag: int) -> None:
+        self._timer(due, "tag", tag)
+
+    # -- events --------------------------------------------------------------------------------------
+
+    def _came(self, ticket: int, call: Call, now: int) -> None:
+        self.hands[ticket] = InHand(call)
+        self._timer(now + call.timeout, "req", ticket)
+        self.take(Req(ticket, call.vhost, call.obj, call.group, call.part, call.size_kb, call.timeout), now)
+
+    def _left(self, ticket: int, now: int) -> None:
+        if hand := self.hands.get(ticket):
+            hand.gone = True
+            self.left(ticket, now)
+            if not hand.going:
+                self.hands.pop(ticket, None)
+
+    def _ready(self, ticket: int, going: Going, now: int) -> None:
+        given, call = going.answer, self.hands[ticket].call
+        if going.stale or now >= going.until:
+            self._end(ticket, going, Ending.UNSENT, now)
+            return
+        going.ready = True
+        fields = [("X-Hop-Id", call.id), ("X-Budget", str(max(1, (going.until - now) // MS)))]
+        if call.key:
+            fields.append(("X-Replay-Key", call.key))
+        if given.source != given.be:
+            fields.append(("X-Parent", given.source))
+        if given.rank:
+            fields.append(("X-Rank", str(given.rank)))
+        if given.oldest:
+            fields.append(("X-Fresh-Ms", str(max(1, given.oldest // MS))))
+        if opts := [word for word, on in (("ride", given.join), ("update", given.renew)) if on]:
+            fields.append(("X-Opts", "+".join(opts)))
+        if call.held:
+            fields.append(("X-Have", call.held))
+        target = f"/x/{call.vhost}/{call.obj}/{call.part}"
+        self.effects.append(Write(ticket, given.hop, target, fields, call.body))
+
+    def _head(self, ticket: int, going: Going, head: Head, now: int) -> None:
+        call = self.hands[ticket].call
+        going.head = head
+        unmarked = head.status in (DONE, SAME) and not head.marked and not self.vhosts[call.vhost].never_kept
+        if unmarked or (head.status == SAME and not call.held):
+            self._end(ticket, going, Ending.ERROR, now)  # nothing that may be passed on; it may have run
+
+    def _data(self, ticket: int, going: Going, data: bytes) -> None:
+        if going.head is None or going.head.status != DONE:
+            return
+        if self.hands[ticket].gone:
+            return
+        if not going.passing:
+            going.passing = True
+            data = answer.done(going.head.length) + data
+            going.until = self.router.begun(ticket)
+            self._timer(going.until, "hop", ticket, going.answer.hop)
+        self.effects.append(Reply(ticket, data, last=False))
+
+    def _over(self, ticket: int, going: Going, failure: Failure | None, now: int) -> None:
+        head = going.head
+        if failure is not None:
+            ending = failure.ending()
+        elif head.status in (DONE, SAME):
+            ending = Ending.DONE
+        elif head.status == LACKING:
+            ending = Ending.LACKING
+        elif head.status in (FULL, OVER) and head.never_ran:
+            ending = Ending.FULL if head.status == FULL else Ending.UNSENT
+        else:
+            ending = Ending.ERROR
+        if ending is Ending.DONE:
+            same = head.status == SAME
+            last = b"" if going.passing else answer.still_good() if same else answer.done(0)
+            self._reply(ticket, last)
+        self._end(ticket, going, ending, now, drop=False)
+
+    def _heard(self, event: Lines, now: int) -> None:
+        for name, where in event.addresses.items():
+            if self.addresses.get(name, where) != where:
+                self.effects.append(Forget(name))
+            self.addresses[name] = where
+        told = {line.name: line.state for line in event.lines}
+        if event.whole:
+            told |= {name: State.GONE for name in self.states if name not in told}
+        self.states |= told
+        self.router.heard(event.lines, event.whole, now)
+        down = {name for name, state in told.items() if state is not State.UP}
+        self.effects += [Forget(name) for name in sorted(down)]
+        for hand in self.hands.values():
+            if hand.going and not down.isdisjoint((hand.going.answer.be, hand.going.answer.source)):
+                hand.going.stale = True
+
+    def _fire(self, what: tuple, now: int) -> None:
+        match what:
+            case ("tag", tag):
+                if tag != ASK_WAIT:
+                    self.fired(tag, now)
+            case ("hop", ticket, hop):
+                going = self._going(ticket, hop)
+                if going and now >= going.until:
+                    self._end(ticket, going, Ending.LATE if going.ready else Ending.UNSENT, now)
+            case ("req", ticket):
+                hand = self.hands.get(ticket)
+                if hand and not hand.gone:  # the decisions end it sooner; should they not, here it ends
+                    passing = hand.going and hand.going.passing
+                    self.effects.append(
+                        Reply(ticket, b"" if passing else answer.aborted(), whole=not passing)
+                    )
+                    self._left(ticket, now)
+            case ("stop",):
+                if self.hands:
+                    self._timer(now + 10 * MS, "stop")
+                else:
+                    self.effects.append(Exit())
+
+    # -- parts of them -------------------------------------------------------------------------------
+
+    def _going(self, ticket: int, hop: int) -> Going | None:
+        """The dispatch that an event speaks of, unless it has been given up meanwhile."""
+        hand = self.hands.get(ticket)
+        going = hand.going if hand else None
+        return going if going and going.answer.hop == hop else None
+
+    def _end(self, ticket: int, going: Going, ending: Ending, now: int, drop: bool = True) -> None:
+        if drop:
+            self.effects.append(Drop(ticket, going.answer.hop))
+        hand = self.hands[ticket]
+        hand.going = None
+        if going.passing and ending is not Ending.DONE:  # broken off, which the client can tell
+            self._reply(ticket, b"", whole=False)
+        told = going.head.told if going.head else Told.NOTHING
+        over = hand.gone or ending is Ending.DONE
+        if over:
+            self.hands.pop(ticket, None)
+        self.ended(ticket, Outcome(going.answer.hop, ending, now - going.since, told, over), now)
+
+    def _reply(self, ticket: int, data: bytes, whole: bool = True) -> None:
+        """The end of a req, unless its client has gone."""
+        hand = self.hands[ticket]
+        if not hand.gone:
+            self.effects.append(Reply(ticket, data, last=True, whole=whole))
+        hand.gone = True
+        if not hand.going:
+            del self.hands[ticket]
+
+    def _timer(self, due: int, *what: object) -> None:
+        self.numbers += 1
+        heapq.heappush(self.timers, (due, self.numbers, what))
--- /dev/null
+++ b/quartzrouter/net/serve.py
@@ -0,0 +1,190 @@
+"""The process: one task group, the clock, events into the reducer and its effects out to the sockets."""
+
+import gc
+import logging
+import signal
+import sys
+import time
+import traceback
+from collections import deque
+
+import anyio
+
+from quartzrouter import control
+from quartzrouter.briefing import Post, Unusable
+from quartzrouter.interface import Effect as RepeatEffect
+from quartzrouter.net import answer, journal
+from quartzrouter.net.backend import Backend
+from quartzrouter.net.front import Front
+from quartzrouter.net.reducer import (
+    Drop, Event, Exit, Forget, Left, Open, Over, Probe, Reducer, Reply, Stop, Tick, Write,
+)  # fmt: skip
+from quartzrouter.net.report import Forward, Report
+
+RESERVE = 24  # descriptors for the listener, the journal service, the loop, the log and Python itself
+BACKLOG = 1024  # connections that wait to be accepted
+ACCEPT_PAUSE = 0.05  # s after an accept that failed
+
+
+def clock() -> int:
+    """Unix time in whole microseconds."""
+    return time.time_ns() // 1000
+
+
+class Flight:
+    """A dispatch's task, and the way to hand it what to write."""
+
+    def __init__(self) -> None:
+        self.scope, self.asked, self.write = anyio.CancelScope(), anyio.Event(), None
+
+    async def order(self) -> Write:
+        await self.asked.wait()
+        return self.write
+
+
+class Service:
+    def __init__(self, post: Post):
+        self.post = post
+        self.report = Report(post.name, clock)
+        control.log.handlers, control.log.propagate = [Forward(self.report)], False
+        control.log.setLevel(logging.INFO)
+        self.reducer = Reducer(post.briefing)
+        clients = post.sockets // 3
+        effects = {vhost.name: vhost.effect is RepeatEffect.UNIQUED for vhost in post.briefing.vhosts}
+        self.front = Front(self.feed, clients, effects.get, self.report)
+        self.backend = Backend(
+            self.feed, post.sockets - clients - RESERVE,
+            post.briefing.idle_most / 1e6, post.briefing.connect_within / 1e6,
+        )  # fmt: skip
+        self.flights: dict[tuple[int, int], Flight] = {}
+        self.events: deque[Event] = deque()
+        self.feeding = False
+        self.changed = anyio.Event()  # the reducer's next timer
+        self.tasks: anyio.abc.TaskGroup
+
+    def feed(self, event: Event) -> None:
+        """Plays an event, and whatever its effects bring about at once."""
+        self.events.append(event)
+        if self.feeding:
+            return
+        self.feeding = True
+        try:
+            while self.events:
+                self._step(self.events.popleft())
+        finally:
+            self.feeding = False
+
+    def _step(self, event: Event) -> None:
+        due = self.reducer.due
+        if isinstance(event, Over) and event.failure:
+            failure = event.failure
+            self.report.say("dispatch", f"{failure.cause.name} while {failure.stage.name}: {failure.detail}")
+        try:
+            effects = self.reducer.step(event, clock())
+        except Exception:
+            self.report.say("fault", f"{type(event).__name__}: {traceback.format_exc()}")
+            effects = self.reducer.effects
+            ticket = getattr(event, "ticket", None)
+            if ticket is not None and not isinstance(event, Left):
+                self._perform(Reply(ticket, answer.aborted(), whole=False))
+                self.events.append(Left(ticket))
+        for effect in effects:
+            self._perform(effect)
+        if self.reducer.due < due:
+            self.changed.set()
+
+    def _perform(self, effect) -> None:
+        match effect:
+            case Reply(ticket, data, last, whole):
+                if seat := self.front.seats.get(ticket):
+                    seat.reply(ticket, data, last, whole)
+            case Open(ticket, hop, name, address):
+                self.flights[ticket, hop] = Flight()
+                self.tasks.start_soon(self._dispatch, ticket, hop, name, address)
+            case Write(ticket, hop):
+                flight = self.flights[ticket, hop]
+                flight.write = effect
+                flight.asked.set()
+            case Drop(ticket, hop):
+                if flight := self.flights.get((ticket, hop)):
+                    flight.scope.cancel()
+            case Probe():
+                self.tasks.start_soon(self.backend.probe, effect)
+            case Forget(name):
+                self.tasks.start_soon(self.backend.forget, name)
+            case Exit():
+                self.tasks.cancel_scope.cancel()
+
+    async def _dispatch(self, ticket: int, hop: int, name: str, address: tuple[str, int]) -> None:
+        flight, seat = self.flights[ticket, hop], self.front.seats.get(ticket)
+
+        async def room() -> None:
+            if seat:
+                await seat.room(ticket)
+
+        try:
+            with flight.scope:
+                await self.backend.dispatch(ticket, hop, name, address, flight.order, room)
+        finally:
+            del self.flights[ticket, hop]
+
+    async def _timers(self) -> None:
+        while True:
+            self.changed = anyio.Event()
+            wait = (self.reducer.due - clock()) / 1e6
+            if wait > 0:
+                with anyio.move_on_after(wait):
+                    await self.changed.wait()
+            if self.reducer.due <= clock():
+                self.feed(Tick())
+                await anyio.lowlevel.checkpoint()
+
+    async def _follow(self) -> None:
+        post = self.post
+        await journal.follow(post.journal, post.position, post.briefing, self.feed, self.report)
+
+    async def _accept(self, listener) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                self.report.say("client", f"accept failed: {error}")
+                await anyio.sleep(ACCEPT_PAUSE)
+                continue
+            self.tasks.start_soon(self.front.serve, stream)
+
+    async def _signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM) as received:
+            async for _ in received:
+                self.report.say("process", "SIGTERM: finishing what is in hand")
+                self.feed(Stop())
+
+    async def run(self) -> None:
+        now = clock()
+        self.reducer.step(Tick(), now)
+        for event in journal.known(self.post.known, self.post.briefing):
+            self.reducer.step(event, now)
+        host, port = self.post.listen
+        try:
+            listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=BACKLOG)
+        except OSError as error:
+            raise Unusable(f"listen: {host}:{port} can't be bound: {error.strerror or error}") from None
+        gc.collect()
+        gc.freeze()
+        async with anyio.create_task_group() as self.tasks:
+            self.tasks.start_soon(self._signals)
+            self.tasks.start_soon(self._timers)
+            self.tasks.start_soon(self.backend.sweep)
+            self.tasks.start_soon(self._follow)
+            for listener in listeners.listeners:
+                self.tasks.start_soon(self._accept, listener)
+        self.report.say("process", "stopped")
+
+
+def main(environ) -> int:
+    try:
+        anyio.run(Service(Post(environ)).run)
+    except Unusable as error:
+        print(f"quartzrouter: {error}", file=sys.stderr)
+        return 1
+    return 0
