--- a/quartzrouter/briefing.py
+++ b/quartzrouter/briefing.py
@@ -60,7 +60,9 @@
     def at(self, key: str, n: int, default: Any, *kinds: type) -> Any:
         """One place of a list that goes by vhost or zone, and may be too short."""
         row = self.may(key, [], list)
-        return Section({f"{n}": row[n] if n < len(row) else None}, self.key(key)).may(f"{n}", default, *kinds)
+        return Section({f"{n}": row[n] if n < len(row) else None}, self.key(key)).may(
+            f"{n}", default, *kinds, least=0
+        )
 
 
 class Briefing:
@@ -171,7 +173,10 @@
         except orjson.JSONDecodeError as error:
             raise Unusable(f"NODE_CONFIG: {path} is not JSON: {error}") from None
         self.name = environ.get("NODE_NAME") or told.may("name", "?", str)
-        self.listen = address(environ.get("NODE_LISTEN") or told.need("listen", str), "listen")
+        listen = environ.get("NODE_LISTEN")
+        self.listen = (
+            address(listen, "NODE_LISTEN") if listen else address(told.need("listen", str), "listen")
+        )
         self.journal = address(told.need("journal", str), "journal")
         seed = told.need("seed", str)
         try:
--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -1,6 +1,8 @@
 """Dispatches and probes: HTTP/1.1 to the caches on pooled connections, one req at a time on each."""
 
+import contextlib
 import errno
+import socket
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -57,8 +59,7 @@
 
     @property
     def reusable(self) -> bool:
-        done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-        return done and not len(self.incoming) and not self.http.trailing_data[0]
+        return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
 
 
 class Backend:
@@ -67,6 +68,7 @@
         self.idle_most, self.connect_within = idle_most * IDLE_SHARE, connect_within
         self.pool: dict[str, list[Line]] = {}  # by the cache's id, last used last
         self.open = 0  # connections, and those that are coming up
+        self.asked: dict[tuple[int, int], Line] = {}  # by ticket and hop
 
     async def _connect(self, name: str, address: tuple[str, int]) -> Line | Failure:
         """A connection, pooled or new."""
@@ -107,7 +109,8 @@
 
     async def _close(self, line: Line) -> None:
         self.open -= 1
-        await anyio.aclose_forcefully(line.stream)
+        with contextlib.suppress(Exception):
+            await anyio.aclose_forcefully(line.stream)
 
     def _keep(self, name: str, line: Line) -> None:
         line.http.start_next_cycle()
@@ -132,6 +135,7 @@
                 over(found)
                 return
             line, stage = found, Stage.CONNECTED
+            self.asked[ticket, hop] = line
             self.feed(Ready(ticket, hop))
             write = await order()
             stage = Stage.ASKING
@@ -145,6 +149,8 @@
                     self.feed(Data(ticket, hop, bytes(event.data)))
                     await room()
                 elif isinstance(event, h11.EndOfMessage):
+                    if len(line.incoming) or line.http.trailing_data[0]:
+                        raise Unreadable("more bytes than announced")
                     break
                 elif isinstance(event, h11.ConnectionClosed):
                     raise anyio.BrokenResourceError
@@ -161,9 +167,16 @@
             if not ended:
                 over(Failure(stage, Cause.DIED, f"{type(error).__name__}: {error}"))
         finally:
+            self.asked.pop((ticket, hop), None)
             if line is not None:
                 await self._close(line)
 
+    def drop(self, ticket: int, hop: int) -> None:
+        """Ends a dispatch's connection now, ahead of its task: the next one may go out at once."""
+        if line := self.asked.get((ticket, hop)):
+            with contextlib.suppress(OSError):
+                line.stream.extra(anyio.abc.SocketAttribute.raw_socket).shutdown(socket.SHUT_RDWR)
+
     async def probe(self, probe: Probe) -> None:
         ending, line = Ending.ERROR, None
         try:
@@ -217,6 +230,8 @@
     if status == 200 and length is None and "chunked" not in fields.get("transfer-encoding", ""):
         raise Unreadable("an answer without a length")
     marked = bool(fields.get("x-tag")) and fields.get("x-minted", "").isdecimal()
-    told = TOLD.get(fields.get("x-tell", ""), Told.NOTHING)
+    if (tell := fields.get("x-tell")) is not None and tell not in TOLD:
+        raise Unreadable(f"X-Tell is {tell!r:.40}")
+    told = TOLD[tell] if tell else Told.NOTHING
     never_ran = fields.get("x-no-effect") == "1"
     return Head(ticket, hop, status, int(length) if length is not None else None, never_ran, marked, told)
--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -64,17 +64,17 @@
     keyed = uniqued(vhost) if path == "/rpc" else None
     if keyed is None:
         raise LookupError
-    timeout, group = int(field("X-Deadline-Ms", NUMBER)), maybe("X-Tag", NUMBER)
+    timeout, group = int(field("X-Deadline-Ms", NUMBER)), int(field("X-Tag", NUMBER))
     if not 0 < timeout <= TIMEOUT_MOST:
         raise Unusable(f"X-Deadline-Ms is {timeout}")
-    if group and int(group) > 255:
+    if group > 255:
         raise Unusable(f"X-Tag is {group}")
     return Call(
         id=field("X-Correlation-Id", TOKEN),
         vhost=vhost,
         obj=field("X-Subject", TOKEN),
-        part=int(maybe("X-Chunk", NUMBER) or 0),
-        group=int(group) if group else None,
+        part=int(field("X-Chunk", NUMBER)),
+        group=group,
         timeout=timeout * 1000,
         key=field("X-Operation-Key", KEY) if keyed else maybe("X-Operation-Key", KEY),
         held=maybe("X-Known", TOKEN),
@@ -152,8 +152,8 @@
         ticket = self.front.ticket(self)
         self.tickets[id], self.owed[ticket] = ticket, (id, intake.keep)
         try:
-            if intake.status:
-                raise Unusable("too long")
+            if intake.status or not intake.named:
+                raise Unusable("too long" if intake.status else "parameters without an end")
             params = fastcgi.pairs(bytes(intake.params))
             if params.get("SCRIPT_NAME") == "/health":
                 self.front.feed(Asked(ticket))
@@ -212,7 +212,9 @@
                         self.emptied.pop(ticket).set()
             if len(self.outgoing):
                 with anyio.fail_after(STUCK_AFTER):
-                    await self.stream.send(self.outgoing.take(OUTGOING))
+                    data = self.outgoing.peek(OUTGOING)
+                    await self.stream.send(data)
+                    self.outgoing.drop(len(data))
             elif self.closing and not self.owed:
                 return
             elif not self.turns:
@@ -236,7 +238,11 @@
         self.feed, self.most, self.uniqued, self.report = feed, most, uniqued, report
         self.tickets = 0
         self.seats: dict[int, Seat] = {}  # by ticket
-        self.open = 0
+        self.open: set[Seat] = set()
+
+    @property
+    def flushed(self) -> bool:
+        return not any(seat.waiting or len(seat.outgoing) for seat in self.open)
 
     def ticket(self, seat: Seat) -> int:
         self.tickets += 1
@@ -245,12 +251,12 @@
 
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
         """One connection, from its accept to its end."""
-        if self.open >= self.most:
+        if len(self.open) >= self.most:
             self.report.say("client", "no room for a further connection")
             await anyio.aclose_forcefully(stream)
             return
-        self.open += 1
         seat = Seat(self, stream)
+        self.open.add(seat)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._flush, seat, tasks)
@@ -264,7 +270,7 @@
         except Exception as error:
             self.report.say("client", f"connection ended: {type(error).__name__}: {error}")
         finally:
-            self.open -= 1
+            self.open.discard(seat)
             seat.leave()
             await anyio.aclose_forcefully(stream)
 
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -190,7 +190,7 @@
         self.states: dict[str, State] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self.probing: set[str] = set()
-        self.stopping = False
+        self.stopping = self.closed = False  # after SIGTERM; once nothing more is taken
         self.effects: list[Effect] = []
 
     def step(self, event: Event, now: int) -> list[Effect]:
@@ -267,6 +267,9 @@
 
     def _came(self, ticket: int, call: Call, now: int) -> None:
         self.hands[ticket] = InHand(call)
+        if self.closed:
+            self._reply(ticket, answer.denied(0))
+            return
         self._timer(now + call.timeout, "req", ticket)
         self.take(Req(ticket, call.vhost, call.obj, call.group, call.part, call.size_kb, call.timeout), now)
 
@@ -370,6 +373,7 @@
                     )
                     self._left(ticket, now)
             case ("stop",):
+                self.closed = True
                 if self.hands:
                     self._timer(now + 10 * MS, "stop")
                 else:
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -23,6 +23,7 @@
 
 RESERVE = 24  # descriptors for the listener, the journal service, the loop, the log and Python itself
 BACKLOG = 1024  # connections that wait to be accepted
+FLUSH_EVERY = 0.005  # s between looks whether the last answers have gone out
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
 
 
@@ -106,6 +107,7 @@
                 flight.write = effect
                 flight.asked.set()
             case Drop(ticket, hop):
+                self.backend.drop(ticket, hop)
                 if flight := self.flights.get((ticket, hop)):
                     flight.scope.cancel()
             case Probe():
@@ -113,7 +115,7 @@
             case Forget(name):
                 self.tasks.start_soon(self.backend.forget, name)
             case Exit():
-                self.tasks.cancel_scope.cancel()
+                self.tasks.start_soon(self._exit)
 
     async def _dispatch(self, ticket: int, hop: int, name: str, address: tuple[str, int]) -> None:
         flight, seat = self.flights[ticket, hop], self.front.seats.get(ticket)
@@ -153,6 +155,11 @@
                 continue
             self.tasks.start_soon(self.front.serve, stream)
 
+    async def _exit(self) -> None:
+        while not self.front.flushed:
+            await anyio.sleep(FLUSH_EVERY)
+        self.tasks.cancel_scope.cancel()
+
     async def _signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM) as received:
             async for _ in received:
