Tests: codecs and reducer as traces, the router over loopback against stand-ins

Found and mended on the way: a purge under known with a stamp that is no number was taken; known is now read like the rest of what is told at start.

--- a/quartzrouter/briefing.py
+++ b/quartzrouter/briefing.py
@@ -186,7 +186,7 @@
         self.sockets = told.part("limits").may("sockets", 1024, int, least=64)
         known = told.part("known")
         self.position = known.count("pos")
-        self.known = [part.told for part in known.parts("entries")]
+        self.known = known.parts("entries")
         self.briefing = Briefing(told.need("settings", dict), self.seed)
         if not self.briefing.vhosts:
             raise Unusable("settings.categories is empty")
--- a/quartzrouter/net/journal.py
+++ b/quartzrouter/net/journal.py
@@ -3,11 +3,11 @@
 import random
 import struct
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import anyio
 
-from quartzrouter.briefing import Briefing, Unusable, address
+from quartzrouter.briefing import Briefing, Section, address
 from quartzrouter.interface import Listed, State
 from quartzrouter.net.report import Report
 from quartzrouter.net.ring import Ring
@@ -42,30 +42,25 @@
     """Bytes that no journal service writes; stops at the connection."""
 
 
-def known(entries: list[dict[str, Any]], briefing: Briefing) -> list[Lines | Purge]:
-    """The events present at start."""
+def known(entries: list[Section], briefing: Briefing) -> list[Lines | Purge]:
+    """The events present at start; kinds that are not known here are passed over."""
     found: list[Lines | Purge] = []
-    for n, entry in enumerate(entries):
-        where = f"known.entries[{n}]"
-        try:
-            if hosts := entry.get("hosts"):
-                lines, addresses = [], {}
-                for host in hosts["members"]:
-                    name, kind = host["id"], host["flavor"]
-                    addresses[name] = address(host["host_port"], f"{where}: host_port of {name}")
-                    state = STATES.get(host["phase"], State.DRAINING)
-                    started = (host.get("up_since_ms") or 0) * MS
-                    lines.append(
-                        Listed(name, host["locality"], briefing.tier(kind), kind, host["cell"], state,
-                               float(host["size"]), started)
-                    )  # fmt: skip
-                found.append(Lines(lines, addresses, bool(hosts.get("complete"))))
-            elif purge := entry.get("expire"):
-                found.append(Purge(purge.get("set"), purge.get("name"), purge["stamp"] * MS))
-        except KeyError as error:
-            raise Unusable(f"{where}: {error.args[0]} is missing") from None
-        except (TypeError, AttributeError, ValueError) as error:
-            raise error if isinstance(error, Unusable) else Unusable(f"{where}: {error}") from None
+    for entry in entries:
+        if "hosts" in entry.told:
+            hosts, lines, addresses = entry.part("hosts"), [], {}
+            for host in hosts.parts("members"):
+                name, kind = host.need("id", str), host.need("flavor", str)
+                addresses[name] = address(host.need("host_port", str), host.key("host_port"))
+                state = STATES.get(host.need("phase", str), State.DRAINING)
+                lines.append(
+                    Listed(name, host.need("locality", str), briefing.tier(kind), kind, host.count("cell"),
+                           state, host.figure("size", 1.0), host.count("up_since_ms") * MS)
+                )  # fmt: skip
+            found.append(Lines(lines, addresses, hosts.may("complete", False, bool)))
+        elif "expire" in entry.told:
+            purge = entry.part("expire")
+            when, obj = purge.need("stamp", int, least=0) * MS, purge.may("name", None, str)
+            found.append(Purge(None if obj else purge.need("set", int, least=0), obj, when))
     return found
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from quartzrouter import control
+from quartzrouter.briefing import Briefing
 from quartzrouter.interface import (
     ColdStart,
     Dispatch,
@@ -20,9 +21,22 @@
     Told,
     VHost,
 )
+from quartzrouter.net import journal, progress, reducer
 
 MS, S = 1_000, 1_000_000
+SETUP = {
+    "me": 0, "peers_total": 1, "zone": "north", "zones": ["hub", "north"],
+    "models": ["box", "parent", "origin"],
+    "categories": [
+        {"name": "page", "effect": "retryable", "aim_us": 400000, "deadline_us": 3000000, "worth": 1.0},
+        {"name": "sale", "effect": "unheard-of", "aim_us": 800000, "deadline_us": 3000000, "worth": 3.0},
+    ],
+    "limits": {"try_limit": 4, "cancel": True, "retry_after": True, "max_retry_after_us": 2000000, "news": 1},
+    "family_info": {"shield_kind": 1, "store_kind": 2, "flow_kb_per_s": 1000, "never_kept": [False, True]},
+    "rules": {"cold_from": 0.25, "ramp_time_us": 16000000, "tip_multiple": 2.0, "tip_after_us": 1000000},
+}  # fmt: skip
 TRACES = Path(__file__).parent / "traces"
+KEYED = {"name": "hold", "effect": "dedup", "group": "all", "window_us": 3000000}
 
 
 def vhost(name, effect=Effect.REPLAYABLE, **other):
@@ -36,9 +50,9 @@
 class Drive(logging.Handler):
     """Three caches c1 to c3, two parents p1 and p2, the origin o; 1000 KB take a second to send."""
 
-    def __init__(self, rated=True, **permits):
+    def __init__(self, lines, rated=True, **permits):
         super().__init__()
-        self.lines, self.now, self.hops, self.last = [], 10 * S, {}, {}
+        self.lines, self.now, self.hops, self.last = lines, 10 * S, {}, {}
         control.log.handlers, control.log.propagate = [self], False
         control.log.setLevel(logging.INFO)
         given = dict(
@@ -116,13 +130,97 @@
     )
 
 
+class Play:
+    """A reducer of two caches, a parent and the origin; prints each event and the effects it brings about."""
+
+    def __init__(self, lines):
+        self.lines, self.now, self.start = lines, 10 * S, 10 * S
+        setup = SETUP | {"limits": SETUP["limits"] | {"probes": True}}
+        setup["categories"] = [*SETUP["categories"], SETUP["categories"][1] | KEYED]
+        setup["family_info"] = SETUP["family_info"] | {
+            "never_kept": [False, True, True],
+            "pass_through_ok": True,
+        }
+        self.reducer = reducer.Reducer(Briefing(setup, 7))
+        self.list(whole=True, c1="up", c2="up", p1="up", o="up")
+
+    def list(self, whole=False, **states):
+        kinds = {"c": "box", "p": "parent", "o": "origin"}
+        tiers = {"c": Tier.CACHE, "p": Tier.PARENT, "o": Tier.ORIGIN}
+        lines = [
+            Listed(
+                name,
+                "north" if name[0] == "c" else "hub",
+                tiers[name[0]],
+                kinds[name[0]],
+                0,
+                State(state),
+                6.0,
+                0,
+            )
+            for name, state in states.items()
+        ]
+        addresses = {name: (f"127.0.0.{n}", 80) for n, name in enumerate(states, 1)}
+        self.do(f"list {states}", journal.Lines(lines, addresses, whole))
+
+    def came(self, ticket, vhost="page", **other):
+        given = {
+            "id": f"{ticket:016x}",
+            "vhost": vhost,
+            "obj": f"{7:016x}",
+            "part": 0,
+            "group": 5,
+            "timeout": 2 * S,
+        }
+        self.do(f"req {ticket} {vhost}", reducer.Came(ticket, reducer.Call(**(given | other))))
+
+    def answered(self, ticket, status=200, length=None, never_ran=False, marked=True, hop=0):
+        event = reducer.Head(ticket, hop, status, length, never_ran, marked, Told.NOTHING)
+        self.do(f"req {ticket} head {status}", event)
+
+    def over(self, ticket, *failure, hop=0):
+        event = reducer.Over(ticket, hop, progress.Failure(*failure) if failure else None)
+        self.do(f"req {ticket} over {failure[1].name.lower() if failure else 'whole'}", event)
+
+    def ready(self, ticket, hop=0):
+        self.do(f"req {ticket} ready", reducer.Ready(ticket, hop))
+
+    def data(self, ticket, data, hop=0):
+        self.do(f"req {ticket} data", reducer.Data(ticket, hop, data))
+
+    def until(self, ms):
+        """Lets the timers fire up to that time."""
+        while self.reducer.due <= self.start + ms * MS:
+            self.now = max(self.now, self.reducer.due)
+            self.do("tick", reducer.Tick(), quiet=True)
+        self.now = self.start + ms * MS
+
+    def do(self, text, event, quiet=False):
+        effects = self.reducer.step(event, self.now)
+        if effects or not quiet:
+            self.lines.append(f"{(self.now - self.start) // MS:6d} ms  {text}")
+        for effect in effects:
+            shown = ", ".join(str(value) for value in effect)
+            self.lines.append(f"{'':13s}{type(effect).__name__.lower()} {shown}")
+
+
 @pytest.fixture
-def drive(request):
-    made = Drive(**getattr(request, "param", {}))
-    yield made
+def trace(request):
+    lines = []
+    yield lines
     kept = TRACES / f"{request.node.originalname.removeprefix('test_')}.txt"
-    text = "\n".join(made.lines) + "\n"
+    text = "\n".join(lines) + "\n"
     if request.config.getoption("--retrace"):
         kept.parent.mkdir(exist_ok=True)
         kept.write_text(text)
     assert text == kept.read_text()
+
+
+@pytest.fixture
+def drive(request, trace):
+    return Drive(trace, **getattr(request, "param", {}))
+
+
+@pytest.fixture
+def play(trace):
+    return Play(trace)
--- /dev/null
+++ b/tests/test_codecs.py
@@ -0,0 +1,175 @@
+"""What is read and written, without sockets: records, frames, heads of answers, what is told at start."""
+
+import json
+
+import h11
+import pytest
+
+from conftest import SETUP
+from quartzrouter.briefing import Briefing, Post, Section, Unusable
+from quartzrouter.net import answer, backend, fastcgi, front, journal
+from quartzrouter.net.ring import Ring
+
+
+def test_a_ring_wraps_and_keeps_the_order(trace):
+    ring, sent = Ring(8), iter(range(100))
+    for put, take in ((5, 3), (6, 4), (4, 8), (8, 5), (5, 8)):
+        ring.put(bytes(next(sent) for _ in range(put)))
+        trace.append(f"in {put}, out {list(ring.take(take))}, left {len(ring)}")
+    for wrong in (lambda: ring.put(bytes(9)), lambda: ring.drop(1)):
+        with pytest.raises(ValueError):
+            wrong()
+
+
+def test_records_come_whole_however_they_are_cut(trace):
+    long = "x" * 200
+    names = b"".join(
+        bytes((len(name),)) + (len(value) | 1 << 31).to_bytes(4, "big") + name.encode() + value.encode()
+        for name, value in (("LONG", long), ("EMPTY", ""))
+    )
+    names += b"\x01\x01A1"
+    data = (
+        fastcgi.record(fastcgi.BEGIN, 300, bytes((0, 1, 1, 0, 0, 0, 0, 0)))
+        + fastcgi.record(fastcgi.PARAMS, 300, names)
+        + fastcgi.record(fastcgi.STDIN, 300, b"")
+    )
+    for step in (1, 7, len(data)):
+        ring = Ring(fastcgi.RECORD_MOST)
+        for at in range(0, len(data), step):
+            ring.put(data[at : at + step])
+            while record := fastcgi.next_record(ring):
+                content = fastcgi.pairs(record.content) if record.kind == fastcgi.PARAMS else record.content
+                trace.append(
+                    f"step {step}: kind {record.kind} id {record.id} {content}".replace(long, "x * 200")
+                )
+
+
+@pytest.mark.parametrize("data", [b"\x05a", b"\x01\x01a", b"\x81\x00\x00", b"\xff\xff\xff\xff\x01ab"])
+def test_pairs_that_are_cut_off(data):
+    with pytest.raises(fastcgi.Broken):
+        fastcgi.pairs(data)
+
+
+def test_records_out(trace):
+    for data in (
+        *fastcgi.stdout(1, b"x" * 9000), fastcgi.end(258), fastcgi.end(1, whole=False),
+        fastcgi.end(1, protocol=fastcgi.OVERLOADED), fastcgi.unknown(77),
+        fastcgi.values({"FCGI_MPXS_CONNS": "", "OTHER": ""}, {"FCGI_MPXS_CONNS": 1}),
+        answer.head(200, 3), answer.still_good(), answer.denied(1_500), answer.denied(0), answer.aborted(),
+        answer.refused(404, "no such vhost"), answer.health(False),
+    ):  # fmt: skip
+        trace.append(f"{len(data)} bytes, {data[:120]}")
+
+
+def test_reqs_that_cannot_be_used(trace):
+    whole = {
+        "SCRIPT_NAME": "/rpc/page", "HTTP_X_CORRELATION_ID": "0123456789abcdef", "HTTP_X_DEADLINE_MS": "900",
+        "HTTP_X_SUBJECT": "00000000000000ff", "HTTP_X_CHUNK": "3", "HTTP_X_TAG": "17",
+    }  # fmt: skip
+    key = {"HTTP_X_OPERATION_KEY": "0" * 32}
+    for change in (
+        {}, {"HTTP_X_KNOWN": "0" * 16}, {"HTTP_X_KNOWN": "?"}, {"HTTP_X_CHUNK": "-1"}, {"HTTP_X_CHUNK": None},
+        {"HTTP_X_TAG": "256"}, {"HTTP_X_TAG": None}, {"HTTP_X_DEADLINE_MS": "0"},
+        {"HTTP_X_DEADLINE_MS": "9" * 9},
+        {"HTTP_X_SUBJECT": "00000000000000f\r"}, {"HTTP_X_CORRELATION_ID": ""}, {"SCRIPT_NAME": "/rpc/other"},
+        {"SCRIPT_NAME": "/page"}, {"SCRIPT_NAME": "/rpc/hold"}, {"SCRIPT_NAME": "/rpc/hold"} | key,
+    ):  # fmt: skip
+        params = {name: value for name, value in (whole | change).items() if value is not None}
+        try:
+            said = front.call(params, b"", {"page": False, "hold": True}.get)
+        except (front.Unusable, LookupError) as error:
+            said = f"{type(error).__name__} {error}"
+        trace.append(f"{change}: {said}")
+
+
+def test_heads_of_answers(trace):
+    marks = [("X-Tag", "4be0"), ("X-Minted", "1764576000123")]
+    for status, fields in (
+        (200, [("Content-Length", "5"), *marks, ("X-Tell", "fetched")]),
+        (200, [("Transfer-Encoding", "chunked")]),
+        (200, marks), (200, [("Content-Length", "5"), ("X-Tag", "4be0"), ("X-Minted", "soon")]), (304, marks),
+        (200, [("Content-Length", "5"), ("X-Tell", "guessed")]), (503, [("X-No-Effect", "1")]), (503, []),
+    ):  # fmt: skip
+        response = h11.Response(status_code=status, headers=fields)
+        try:
+            said = backend.read_head(1, 0, response)
+        except backend.Unreadable as error:
+            said = f"Unreadable {error}"
+        trace.append(f"{status} {fields}: {said}")
+
+
+def frame(number, kind, payload=b""):
+    return (9 + len(payload)).to_bytes(4, "big") + number.to_bytes(8, "big") + bytes((kind,)) + payload
+
+
+LINE = bytes.fromhex("00c41f7a 7f080103 20fb 01 01 00 0002 00002904 0000019ab3c4d5e6".replace(" ", ""))
+
+
+def test_frames_of_the_journal(trace):
+    briefing = Briefing(SETUP, 7)
+    good = [
+        frame(5, 0), frame(6, 1, LINE), frame(7, 2, LINE), frame(8, 3, bytes(7) + b"\x07" + bytes(8)),
+        frame(9, 4, b"\x00\x11" + (1764576000480).to_bytes(8, "big")),
+    ]  # fmt: skip
+    for wrong in (
+        b"", frame(9, 3, bytes(16)), frame(11, 3, bytes(16)), frame(10, 0), frame(10, 9),
+        frame(10, 1, LINE[:-1]),
+        frame(10, 2, LINE.replace(b"\x20\xfb\x01", b"\x20\xfb\x07")), b"\xff" * 13, bytes(13),
+    ):  # fmt: skip
+        ring, held = Ring(journal.RING), 5
+        ring.put(b"".join(good) + wrong)
+        try:
+            while found := journal.next_frame(ring):
+                said, held = journal.frame(held, *found, briefing), found[0]
+                if not wrong:
+                    trace.append(f"event {held}: {said}")
+        except journal.Spoilt as error:
+            trace.append(f"after event {held}: {error}")
+
+
+def test_what_is_known_at_start(trace):
+    host = {"id": "s-00c41f7a", "host_port": "10.1.0.9:8443", "locality": "north", "flavor": "box", "cell": 2,
+            "phase": "SERVING", "size": 4, "up_since_ms": 0}  # fmt: skip
+    for entries in (
+        [{"pos": 41, "hosts": {"revision": 7, "complete": True, "members": [host]}},
+         {"pos": 42, "expire": {"name": "7f3a9c21e0b4d655", "stamp": 1764576000123}},
+         {"pos": 43, "expire": {"set": 17, "stamp": 1764576000480}}, {"pos": 44, "news": {}}],
+        [{"hosts": {"members": [host | {"host_port": "10.1.0.9"}]}}],
+        [{"hosts": {"members": [{"id": "s-1"}]}}],
+        [{"expire": {"set": 17}}], [{"hosts": {"members": 7}}], [{"expire": {"set": 17, "stamp": "now"}}],
+    ):  # fmt: skip
+        try:
+            trace += [
+                str(event)
+                for event in journal.known(Section({"known": entries}).parts("known"), Briefing(SETUP, 7))
+            ]
+        except Unusable as error:
+            trace.append(f"Unusable {error}")
+
+
+def test_what_cannot_be_used_at_start_is_named(trace, tmp_path):
+    told = {
+        "listen": "127.0.0.1:8443", "journal": "127.0.0.1:4222", "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 1024}, "known": {"pos": 0, "entries": []}, "settings": SETUP, "news": 1,
+    }  # fmt: skip
+    path = tmp_path / "config.json"
+    for change in (
+        {}, {"listen": None}, {"listen": "here:1"}, {"journal": "127.0.0.1:0"}, {"seed": "?"}, {"seed": 7},
+        {"limits": {"sockets": 8}}, {"limits": []}, {"known": {"pos": -1}}, {"known": {"entries": [7]}},
+        {"settings": None}, {"settings": {}}, {"settings": SETUP | {"peers_total": "3"}},
+        {"settings": SETUP | {"categories": [{"name": "page"}, {"deadline_us": 1}]}},
+        {"settings": SETUP | {"limits": {"try_limit": 0}}}, {"settings": SETUP | {"limits": {"cancel": 1}}},
+        {"settings": SETUP | {"rules": {"cold_from": 1.5}}},
+        {"settings": SETUP | {"family_info": {"good_for_us": [0, "long"]}}},
+    ):  # fmt: skip
+        path.write_text(json.dumps(told | change))
+        try:
+            said = Post({"NODE_CONFIG": str(path)}).listen
+        except Unusable as error:
+            said = error
+        trace.append(f"{str(change)[:90]}: {said}")
+    path.write_text("{")
+    for environ in ({}, {"NODE_CONFIG": str(path)}, {"NODE_CONFIG": "/nowhere"}):
+        with pytest.raises(Unusable) as found:
+            Post(environ)
+        trace.append(str(found.value).replace(str(path), "FILE"))
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -5,19 +5,9 @@
 
 import pytest
 
+from conftest import SETUP
 from quartzrouter.drill.host import main
 
-SETUP = {
-    "me": 0, "peers_total": 1, "zone": "north", "zones": ["hub", "north"],
-    "models": ["box", "parent", "origin"],
-    "categories": [
-        {"name": "page", "effect": "retryable", "aim_us": 400000, "deadline_us": 3000000, "worth": 1.0},
-        {"name": "sale", "effect": "unheard-of", "aim_us": 800000, "deadline_us": 3000000, "worth": 3.0},
-    ],
-    "limits": {"try_limit": 4, "cancel": True, "retry_after": True, "max_retry_after_us": 2000000, "news": 1},
-    "family_info": {"shield_kind": 1, "store_kind": 2, "flow_kb_per_s": 1000, "never_kept": [False, True]},
-    "rules": {"cold_from": 0.25, "ramp_time_us": 16000000, "tip_multiple": 2.0, "tip_after_us": 1000000},
-}  # fmt: skip
 LIST = [
     {"cache": "c1", "campus": "north", "model": "box", "condition": "Running"},
     {"cache": "p1", "campus": "hub", "model": "parent", "condition": "Running"},
--- /dev/null
+++ b/tests/test_loopback.py
@@ -0,0 +1,340 @@
+"""The whole router over loopback, against stand-ins for a cache and the journal service; bounded in time."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+import pytest
+
+from conftest import SETUP
+from quartzrouter.net import fastcgi, serve
+from quartzrouter.net.ring import Ring
+
+MARKS = b"X-Tag: 4be0c1927d55a6f3\r\nX-Minted: 1764576000123\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\n" + MARKS + b"Content-Length: 5\r\n\r\nabcde"
+
+
+class Client:
+    """Speaks FastCGI, and shows what comes back."""
+
+    def __init__(self, stream):
+        self.stream, self.ring, self.said = stream, Ring(fastcgi.RECORD_MOST), {}
+
+    async def begin(self, id, path="/rpc/page", body=b"", role=1, **other):
+        fields = {
+            "SCRIPT_NAME": path, "HTTP_X_CORRELATION_ID": f"{id:016x}", "HTTP_X_DEADLINE_MS": "1000",
+            "HTTP_X_SUBJECT": f"{id:016x}", "HTTP_X_CHUNK": "0", "HTTP_X_TAG": "5",
+        } | other  # fmt: skip
+        params = b"".join(bytes((len(k), len(v))) + k.encode() + v.encode() for k, v in fields.items())
+        pieces = [
+            (fastcgi.BEGIN, bytes((0, role, 1, 0, 0, 0, 0, 0))),
+            (fastcgi.PARAMS, params),
+            (fastcgi.PARAMS, b""),
+        ]
+        pieces += [(fastcgi.STDIN, body[at : at + 60_000]) for at in range(0, len(body), 60_000)]
+        await self.send(*pieces, (fastcgi.STDIN, b""), id=id)
+
+    async def send(self, *pieces, id=1):
+        await self.stream.send(b"".join(fastcgi.record(kind, id, data) for kind, data in pieces))
+
+    async def end(self):
+        """The next answer: its record id, what it says, how it ended; or that the connection is closed."""
+        said = self.said
+        while True:
+            while record := fastcgi.next_record(self.ring):
+                if record.kind == fastcgi.STDOUT:
+                    said[record.id] = said.get(record.id, b"") + record.content
+                elif record.kind == fastcgi.END:
+                    status, _, body = said.pop(record.id, b"").partition(b"\r\n")
+                    body = body.rpartition(b"\r\n\r\n")[2]
+                    status = status.decode()
+                    return f"{record.id}: {status} {body[:40]} end {record.content[3]} {record.content[4]}"
+                else:
+                    return f"record of kind {record.kind}: {record.content}"
+            try:
+                self.ring.put(await self.stream.receive(self.ring.free))
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return "closed"
+
+
+async def free_port():
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0) as free:
+        return free.extra(anyio.abc.SocketAttribute.local_port)
+
+
+class World:
+    """A router, one stand-in that answers for all caches, and a journal service with frames to tell."""
+
+    def __init__(self, tmp_path):
+        self.answers, self.asked, self.path = {}, [], tmp_path / "config.json"
+        self.open = self.most = 0
+
+    async def cache(self, stream):
+        self.open += 1
+        self.most = max(self.most, self.open)
+        try:
+            await self.serve(stream)
+        finally:
+            self.open -= 1
+
+    async def serve(self, stream):
+        async with stream:
+            data = b""
+            while True:
+                try:
+                    while b"\r\n\r\n" not in data:
+                        data += await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                line, _, data = data.partition(b"\r\n")
+                data = data.partition(b"\r\n\r\n")[2]
+                self.asked.append(line.decode())
+                obj = int(line.split(b"/")[3], 16) if line.startswith(b"GET /x/") else 0
+                for part in self.answers.get(obj, [WHOLE]):
+                    if part is None:
+                        return
+                    if isinstance(part, float):
+                        await anyio.sleep(part)
+                    else:
+                        await stream.send(part)
+
+    async def journal(self, stream):
+        async with stream:
+            self.asked.append(f"journal from {int.from_bytes(await stream.receive(8), 'big')}")
+            await stream.send(self.frames.pop(0) if self.frames else b"")
+            await anyio.sleep(0.05 if self.frames else 5)
+
+    async def listen(self, tasks, handler):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        tasks.start_soon(listener.serve, handler)
+        return f"127.0.0.1:{listener.extra(anyio.abc.SocketAttribute.local_port)}"
+
+    def tell(self, cache, journal, **other):
+        members = [
+            {"id": f"s-0000000{n}", "host_port": cache, "locality": "north", "flavor": flavor, "cell": 0,
+             "phase": "SERVING", "size": 6, "up_since_ms": 0}
+            for n, flavor in enumerate(["box", "box", "parent", "origin"])
+        ]  # fmt: skip
+        told = {
+            "name": "n0", "listen": "127.0.0.1:1", "journal": journal, "seed": "7",
+            "limits": {"sockets": 128},
+            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": members}}]},
+            "settings": SETUP,
+        } | other  # fmt: skip
+        self.path.write_text(json.dumps(told))
+
+    def play(self, scene, frames=(), **other):
+        """Runs a scene, an async function of this world and a way to connect, beside a router."""
+        self.frames = list(frames)
+
+        async def run():
+            with anyio.fail_after(10):
+                async with anyio.create_task_group() as tasks:
+                    cache = await self.listen(tasks, self.cache)
+                    self.tell(cache, await self.listen(tasks, self.journal), **other)
+                    port = await free_port()
+                    environ = {"NODE_CONFIG": str(self.path), "NODE_LISTEN": f"127.0.0.1:{port}"}
+                    tasks.start_soon(serve.Service(serve.Post(environ)).run)
+                    await scene(lambda: self.connect(port))
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    async def connect(self, port):
+        while True:
+            try:
+                return Client(await anyio.connect_tcp("127.0.0.1", port))
+            except OSError:
+                await anyio.sleep(0.01)
+
+
+@pytest.fixture
+def world(tmp_path):
+    return World(tmp_path)
+
+
+def test_reqs_are_answered_over_one_connection(world, trace):
+    async def scene(connect):
+        client = await connect()
+        await client.begin(1, path="/health")
+        trace.append(await client.end())
+        for id in range(1, 5):
+            await client.begin(id)
+        trace.extend(sorted([await client.end() for _ in range(4)]))
+        await client.begin(9, path="/rpc/other")
+        trace.append(await client.end())
+        await client.begin(10, body=bytes(60_000))
+        trace.append(await client.end())
+        await client.begin(11, HTTP_X_TAG="none")
+        trace.append(await client.end())
+
+    world.play(scene)
+    trace += sorted(line for line in world.asked if line.startswith("GET"))
+
+
+def test_what_caches_get_wrong_ends_at_their_connection(world, trace, capsys):
+    head = b"HTTP/1.1 200 OK\r\n" + MARKS
+    wrong = {
+        1: [b"nonsense\r\n\r\n"],
+        2: [head + b"Content-Length: 9\r\n\r\nabcde", None], 3: [head + b"\r\nabcde", None],
+        4: [WHOLE + b"more"], 5: [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde"], 6: [None],
+        7: [b"HTTP/1.1 200 OK\r\nX-A: " + b"a" * 20_000],
+        8: [WHOLE.replace(b"X-Tag", b"X-Tell: guessed\r\nX-Tag")],
+        9: [WHOLE[:-5], 0.05, b"ab", 0.05, b"cde"], 10: [b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE],
+    }  # fmt: skip
+    world.answers = wrong
+
+    async def scene(connect):
+        client = await connect()
+        for id in wrong:
+            await client.begin(id)
+            trace.append(await client.end())
+
+    world.play(scene)
+    assert "Traceback" not in capsys.readouterr().err
+
+
+def test_what_clients_get_wrong_ends_at_their_connection(world, trace, capsys):
+    async def scene(connect):
+        for said in (
+            b"\x02" + bytes(7), b"GET / HTTP/1.1\r\n\r\n", fastcgi.record(fastcgi.BEGIN, 1, b"short"),
+            fastcgi.record(fastcgi.END, 1, bytes(8)), fastcgi.record(fastcgi.GET_VALUES, 0, b"\x0f"),
+            fastcgi.record(fastcgi.BEGIN, 1, b"\x00\x01" + bytes(6)) * 2,
+        ):  # fmt: skip
+            client = await connect()
+            await client.stream.send(said)
+            trace.append(f"{said[:20]}: {await client.end()}")
+        client = await connect()
+        await client.begin(1, role=2)
+        trace.append(await client.end())
+        await client.stream.send(fastcgi.record(77, 0, b""))
+        trace.append(await client.end())
+        await client.stream.send(fastcgi.record(fastcgi.GET_VALUES, 0, b"\x0f\x00FCGI_MPXS_CONNS"))
+        trace.append(await client.end())
+        for id in range(1, 34):
+            await client.send((fastcgi.BEGIN, bytes((0, 1, 1, 0, 0, 0, 0, 0))), id=id)
+        trace.append(await client.end())
+        await client.send((fastcgi.ABORT, b""), id=7)
+        trace.append(await client.end())
+        await client.begin(40)
+        trace.append(await client.end())
+
+    world.play(scene)
+    assert "Traceback" not in capsys.readouterr().err
+
+
+def test_aborts_before_and_during_an_answer(world, trace):
+    world.answers = {1: [1.0, WHOLE], 2: [WHOLE[:-2], 1.0, b"de"]}
+
+    async def scene(connect):
+        client = await connect()
+        for id in (1, 2):
+            await client.begin(id)
+            await anyio.sleep(0.1)
+            await client.send((fastcgi.ABORT, b""), id=id)
+            trace.append(await client.end())
+        await client.begin(3)
+        trace.append(await client.end())
+
+    world.play(scene)
+
+
+def test_a_client_that_reads_nothing_holds_nobody_else(world, trace):
+    big = b"x" * 240_000
+    world.answers = {n: [WHOLE.replace(b"5\r\n\r\nabcde", b"240000\r\n\r\n") + big] for n in range(1, 31)}
+
+    async def scene(connect):
+        slow, client = await connect(), await connect()
+        for id in range(1, 31):
+            await slow.begin(id)
+        await anyio.sleep(0.3)
+        await client.begin(40)
+        trace.append(await client.end())
+
+    world.play(scene)
+
+
+def test_a_journal_that_fails_is_asked_anew_from_the_last_number(world, trace):
+    def frame(number, kind, payload=b""):
+        return (9 + len(payload)).to_bytes(4, "big") + number.to_bytes(8, "big") + bytes((kind,)) + payload
+
+    frames = [
+        frame(1, 0) + frame(2, 3, bytes(16)) + b"\x00", b"\xff" * 20, frame(9, 3, bytes(16)), b"",
+        frame(3, 4, bytes(10)) + frame(3, 4, bytes(10)), frame(3, 0),
+    ]  # fmt: skip
+
+    async def scene(connect):
+        client = await connect()
+        while world.frames:
+            await anyio.sleep(0.02)
+        await client.begin(1)
+        trace.append(await client.end())
+
+    world.play(scene, frames)
+    trace += [line for line in world.asked if line.startswith("journal")]
+
+
+def test_at_the_bound_of_descriptors_reqs_are_denied(world, trace):
+    world.answers = {n: [3.0] for n in range(1, 200)}
+
+    async def scene(connect):
+        clients = [await connect() for _ in range(3)]
+        for id in range(1, 97):
+            await clients[id % 3].begin(id)
+        ends = []
+        with anyio.move_on_after(0.4):  # the others are denied once their dispatch has timed out
+            for id in range(1, 97):
+                ends.append(await clients[id % 3].end())
+        trace.extend(sorted({end.partition(" ")[2] for end in ends}))
+        await anyio.sleep(0.6)
+        world.answers = {}
+        await (client := await connect()).begin(1)
+        trace.append(await client.end())
+        assert 50 < world.most < 70  # a few are closed here before they are there
+
+    world.play(scene)
+
+
+def process(path, port):
+    environ = os.environ | {"NODE_CONFIG": str(path), "NODE_LISTEN": f"127.0.0.1:{port}", "NODE_NAME": "n0"}
+    return subprocess.Popen([sys.executable, "-m", "quartzrouter"], env=environ, stderr=subprocess.PIPE)
+
+
+def test_sigterm_finishes_what_is_in_hand(world, trace):
+    world.answers = {1: [0.3, WHOLE]}
+    world.frames = []
+
+    async def run():
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as tasks:
+                cache, port = await world.listen(tasks, world.cache), await free_port()
+                world.tell(cache, await world.listen(tasks, world.journal))
+                routers = [process(world.path, port)]
+                client = await world.connect(port)
+                second = process(world.path, port)
+                trace.append(
+                    (await anyio.to_thread.run_sync(second.communicate))[1]
+                    .decode()
+                    .strip()
+                    .replace(f"{port}", "PORT")
+                )
+                trace.append(f"exit {second.returncode}")
+                await client.begin(1)
+                await anyio.sleep(0.1)
+                began = time.monotonic()
+                routers[0].send_signal(signal.SIGTERM)
+                trace.append(await client.end())
+                await anyio.sleep(0.6 - (time.monotonic() - began))
+                late = await world.connect(port)
+                await late.begin(2)
+                trace.append(await late.end())
+                error = (await anyio.to_thread.run_sync(routers[0].communicate))[1].decode()
+                trace.append(f"exit {routers[0].returncode} after {time.monotonic() - began:.0f} s")
+                assert "Traceback" not in error
+                tasks.cancel_scope.cancel()
+
+    anyio.run(run)
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,155 @@
+"""The reducer without sockets: events in, effects out, as tests/traces/ has them."""
+
+from quartzrouter.interface import Ending
+from quartzrouter.net import journal, reducer
+from quartzrouter.net.progress import Cause, Stage
+
+
+def empty(play):
+    held = play.reducer
+    assert not held.hands and not held.router.flights and not any(held.router.load)
+
+
+def test_a_req_goes_out_and_its_answer_is_passed_on(play):
+    play.came(1, held=f"{9:016x}")
+    play.ready(1)
+    play.answered(1, length=6)
+    play.data(1, b"abc")
+    play.data(1, b"def")
+    play.over(1)
+    play.came(2, held=f"{9:016x}")
+    play.ready(2)
+    play.answered(2, 304)
+    play.over(2)
+    play.came(3, vhost="hold", key="k", body=b"two pots")
+    play.ready(3)
+    play.answered(3, length=0, marked=False)
+    play.over(3)
+    empty(play)
+
+
+def test_an_abort_at_each_stage_leaves_nothing(play):
+    for ticket, stage in enumerate(("connecting", "asking", "passing", "over"), 1):
+        play.came(ticket)
+        if stage != "connecting":
+            play.ready(ticket)
+        if stage in ("passing", "over"):
+            play.answered(ticket, length=3)
+            play.data(ticket, b"abc")
+        if stage == "over":
+            play.over(ticket)
+        play.do(f"req {ticket} left while {stage}", reducer.Left(ticket))
+        play.data(ticket, b"late")
+        play.over(ticket)
+    empty(play)
+
+
+def test_a_drain_or_a_purge_before_the_write_asks_anew(play):
+    play.came(1)
+    be = play.reducer.hands[1].going.answer.be
+    play.list(**{be: "draining"})
+    play.ready(1)
+    play.came(2)
+    play.do("purge of another group", journal.Purge(6, None, play.now))
+    play.do("purge of another object", journal.Purge(None, f"{8:016x}", play.now))
+    play.ready(2)
+    play.came(3)
+    play.do("purge of the object", journal.Purge(None, f"{7:016x}", play.now))
+    play.ready(3)
+    play.came(4)
+    play.do("purge of the group", journal.Purge(5, None, play.now))
+    play.ready(4)
+    play.now += 2_500_000
+    play.came(5, timeout=1000)
+    play.now += 2_000_000
+    play.ready(5)
+
+
+def test_a_cut_before_the_first_bytes_is_repeated_and_after_them_is_final(play):
+    play.came(1)
+    play.ready(1)
+    play.answered(1, length=9)
+    play.over(1, Stage.ANSWERED, Cause.RESET)
+    play.ready(1, hop=1)
+    play.answered(1, length=9, hop=1)
+    play.data(1, b"abc", hop=1)
+    play.over(1, Stage.ANSWERED, Cause.RESET, hop=1)
+    play.came(2)
+    play.ready(2)
+    play.answered(2, length=9)
+    play.data(2, b"abc")
+    play.until(2_000)
+    empty(play)
+
+
+def test_what_proves_that_nothing_ran(play):
+    """Reqs of a non-replayable vhost: what may have run is aborted, what did not goes out again."""
+    ways = [
+        (404, False), (503, True), (503, False), (504, True), (504, False), (500, False), (418, False),
+        Cause.REFUSED, Cause.NO_ROOM, Cause.RESET, Cause.MALFORMED, Cause.DIED,
+    ]  # fmt: skip
+    for ticket, way in enumerate(ways, 1):
+        play.came(ticket, vhost="sale")
+        if way in (Cause.REFUSED, Cause.NO_ROOM):
+            play.over(ticket, Stage.CONNECTING, way)
+        else:
+            play.ready(ticket)
+            if isinstance(way, tuple):
+                play.answered(ticket, way[0], never_ran=way[1])
+                play.over(ticket)
+            else:
+                play.over(ticket, Stage.ASKING, way)
+        play.do(f"req {ticket} left", reducer.Left(ticket))
+        play.until(10_000 * ticket)
+    empty(play)
+
+
+def test_answers_that_cannot_be_used_are_not_passed_on(play):
+    play.came(1)
+    play.ready(1)
+    play.answered(1, length=3, marked=False)
+    play.data(1, b"abc")
+    play.came(2)
+    play.ready(2)
+    play.answered(2, 304)
+
+
+def test_time_out_before_and_after_the_write(play):
+    play.came(1)
+    play.until(2_000)
+    play.came(2)
+    play.ready(2)
+    play.until(4_100)
+    play.came(3, vhost="hold", key="k")
+    play.ready(3)
+    play.until(6_200)
+    empty(play)
+
+
+def test_sigterm_with_reqs_in_hand(play):
+    play.do("health", reducer.Asked(90))
+    play.came(1, timeout=3_000_000)
+    play.ready(1)
+    play.do("stop", reducer.Stop())
+    play.do("health", reducer.Asked(91))
+    play.until(900)
+    play.came(2)
+    play.until(1_100)
+    play.came(3)
+    play.ready(2)
+    for ticket in (1, 2):
+        play.answered(ticket, length=1)
+        play.data(ticket, b"x")
+        play.over(ticket)
+    play.until(1_200)
+    empty(play)
+
+
+def test_a_cache_that_is_lost_is_probed_and_its_connections_are_dropped(play):
+    for ticket in (1, 2, 3):
+        play.came(ticket, obj=f"{ticket:016x}")
+        play.over(ticket, Stage.CONNECTING, Cause.REFUSED)
+    play.until(600)
+    name = next(iter(play.reducer.probing))
+    play.do(f"probe of {name} done", reducer.Probed(name, Ending.DONE))
+    play.list(c1="gone", c2="up")
