--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -174,8 +174,10 @@
     def drop(self, ticket: int, hop: int) -> None:
         """Ends a dispatch's connection now, ahead of its task: the next one may go out at once."""
         if line := self.asked.get((ticket, hop)):
+            raw = socket.socket(fileno=line.stream.extra(anyio.abc.SocketAttribute.raw_socket).fileno())
             with contextlib.suppress(OSError):
-                line.stream.extra(anyio.abc.SocketAttribute.raw_socket).shutdown(socket.SHUT_RDWR)
+                raw.shutdown(socket.SHUT_RDWR)
+            raw.detach()  # the loop's own object, which may know no shutdown, still owns it
 
     async def probe(self, probe: Probe) -> None:
         ending, line = Ending.ERROR, None
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -90,7 +90,10 @@
                 self._perform(Reply(ticket, answer.aborted(), whole=False))
                 self.events.append(Left(ticket))
         for effect in effects:
-            self._perform(effect)
+            try:
+                self._perform(effect)
+            except Exception:
+                self.report.say("fault", f"{type(effect).__name__}: {traceback.format_exc()}")
         if self.reducer.due < due:
             self.changed.set()
 
@@ -190,7 +193,7 @@
 
 def main(environ) -> int:
     try:
-        anyio.run(Service(Post(environ)).run)
+        anyio.run(Service(Post(environ)).run, backend_options={"use_uvloop": True})
     except Unusable as error:
         print(f"quartzrouter: {error}", file=sys.stderr)
         return 1
