--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -234,8 +234,19 @@
 
     @property
     def due(self) -> int:
+        """When the next timer fires; those of what is over are passed over, so that nobody wakes for them."""
+        while self._idle(self.timers[0][2]):
+            heapq.heappop(self.timers)
         return self.timers[0][0]
 
+    def _idle(self, what: tuple) -> bool:
+        match what:
+            case ("hop", ticket, hop):
+                return self._going(ticket, hop) is None
+            case ("req", ticket):
+                return ticket not in self.hands
+        return False
+
     # -- what the decisions ask for ----------------------------------------------------------------
 
     def dispatch(self, req_id: int, given: Dispatch, now: int) -> None:
