--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+PYTHON = .venv/bin/python
+
+.PHONY: build test lint run
+
+build: .venv/stamp
+
+.venv/stamp: requirements.txt requirements-dev.txt
+	python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements-dev.txt
+	touch $@
+
+test: build
+	$(PYTHON) -m pytest -q
+
+lint: build
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+
+run: build
+	$(PYTHON) -m quartzrouter
