Pooled connections that have ended carry no req; idle clients make room for new ones

Until now a req went out on a connection that its cache had closed while it was pooled, and a non-replayable one was aborted for it. A look at the socket before the write (backend.py, quiet) proves that nothing went out.

--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -57,6 +57,29 @@
             self.http.receive_data(self.incoming.take(RING))
         return event
 
+    def raw(self) -> socket.socket:
+        """A socket object for the descriptor, which the loop keeps: to be detached, not closed."""
+        return socket.socket(fileno=self.stream.extra(anyio.abc.SocketAttribute.raw_socket).fileno())
+
+    def quiet(self) -> bool:
+        """Nothing has come since the last answer, no end either: the next req goes out on a live one."""
+        raw = self.raw()
+        try:
+            raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        finally:
+            raw.detach()
+        return False
+
+    def shut(self) -> None:
+        raw = self.raw()
+        with contextlib.suppress(OSError):
+            raw.shutdown(socket.SHUT_RDWR)
+        raw.detach()
+
     @property
     def reusable(self) -> bool:
         return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
@@ -69,13 +92,16 @@
         self.pool: dict[str, list[Line]] = {}  # by the cache's id, last used last
         self.open = 0  # connections, and those that are coming up
         self.asked: dict[tuple[int, int], Line] = {}  # by ticket and hop
+        self.gone: set[str] = set()  # caches to which nothing more goes
 
     async def _connect(self, name: str, address: tuple[str, int]) -> Line | Failure:
         """A connection, pooled or new."""
         lines = self.pool.get(name, [])
+        self.gone.discard(name)
         while lines:
             line = lines.pop()
-            if line.address == address and anyio.current_time() - line.idle_since < self.idle_most:
+            fresh = anyio.current_time() - line.idle_since < self.idle_most
+            if line.address == address and fresh and line.quiet():
                 return line
             await self._close(line)
         if self.open >= self.most and not await self._make_room():
@@ -112,7 +138,10 @@
         with contextlib.suppress(Exception):
             await anyio.aclose_forcefully(line.stream)
 
-    def _keep(self, name: str, line: Line) -> None:
+    async def _keep(self, name: str, line: Line) -> None:
+        if not line.reusable or name in self.gone:
+            await self._close(line)
+            return
         line.http.start_next_cycle()
         line.idle_since = anyio.current_time()
         self.pool.setdefault(name, []).append(line)
@@ -124,15 +153,17 @@
         """One dispatch from connecting to its end; order waits for what to write, room for the client."""
         line, stage, ended = None, Stage.CONNECTING, False
 
-        def over(failure: Failure | None = None) -> None:
+        def over(cause: Cause | None = None, detail: object = "") -> None:
             nonlocal ended
             ended = True
-            self.feed(Over(ticket, hop, failure))
+            self.feed(
+                Over(ticket, hop, None if cause is None else Failure(stage, cause, f"{name}: {detail}"))
+            )
 
         try:
             found = await self._connect(name, address)
             if isinstance(found, Failure):
-                over(found)
+                over(found.cause, found.detail)
                 return
             line, stage = found, Stage.CONNECTED
             self.asked[ticket, hop] = line
@@ -156,16 +187,15 @@
                     raise anyio.BrokenResourceError
             over()
             await room()
-            if line.reusable:
-                self._keep(name, line)
-                line = None
+            kept, line = line, None
+            await self._keep(name, kept)
         except (h11.RemoteProtocolError, Unreadable) as error:
-            over(Failure(stage, Cause.MALFORMED, str(error)))
+            over(Cause.MALFORMED, error)
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream) as error:
-            over(Failure(stage, Cause.RESET, str(error)))
+            over(Cause.RESET, error)
         except Exception as error:
             if not ended:
-                over(Failure(stage, Cause.DIED, f"{type(error).__name__}: {error}"))
+                over(Cause.DIED, f"{type(error).__name__}: {error}")
         finally:
             self.asked.pop((ticket, hop), None)
             if line is not None:
@@ -174,10 +204,7 @@
     def drop(self, ticket: int, hop: int) -> None:
         """Ends a dispatch's connection now, ahead of its task: the next one may go out at once."""
         if line := self.asked.get((ticket, hop)):
-            raw = socket.socket(fileno=line.stream.extra(anyio.abc.SocketAttribute.raw_socket).fileno())
-            with contextlib.suppress(OSError):
-                raw.shutdown(socket.SHUT_RDWR)
-            raw.detach()  # the loop's own object, which may know no shutdown, still owns it
+            line.shut()
 
     async def probe(self, probe: Probe) -> None:
         ending, line = Ending.ERROR, None
@@ -194,9 +221,8 @@
                         ending = Ending.DONE
                     elif isinstance(event, h11.ConnectionClosed):
                         raise anyio.BrokenResourceError
-                if line.reusable:
-                    self._keep(probe.name, line)
-                    line = None
+                kept, line = line, None
+                await self._keep(probe.name, kept)
             if scope.cancelled_caught:
                 ending = Ending.LATE
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream):
@@ -209,6 +235,7 @@
             self.feed(Probed(probe.name, ending))
 
     async def forget(self, name: str) -> None:
+        self.gone.add(name)
         for line in self.pool.pop(name, []):
             await self._close(line)
 
--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -96,12 +96,15 @@
         self.emptied: dict[int, anyio.Event] = {}
         self.more = anyio.Event()
         self.closing = False
+        self.scope = anyio.CancelScope()
+        self.heard = self.sending = anyio.current_time()  # last bytes in; since when the same bytes go out
 
     # -- reading -----------------------------------------------------------------------------------
 
     async def read(self) -> None:
         while not self.closing:
             self.incoming.put(await self.stream.receive(self.incoming.free))
+            self.heard = anyio.current_time()
             while (record := fastcgi.next_record(self.incoming)) is not None:
                 self._take(record)
 
@@ -211,10 +214,9 @@
                     if ticket in self.emptied:
                         self.emptied.pop(ticket).set()
             if len(self.outgoing):
-                with anyio.fail_after(STUCK_AFTER):
-                    data = self.outgoing.peek(OUTGOING)
-                    await self.stream.send(data)
-                    self.outgoing.drop(len(data))
+                self.sending, data = anyio.current_time(), self.outgoing.peek(OUTGOING)
+                await self.stream.send(data)
+                self.outgoing.drop(len(data))
             elif self.closing and not self.owed:
                 return
             elif not self.turns:
@@ -251,29 +253,58 @@
 
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
         """One connection, from its accept to its end."""
-        if len(self.open) >= self.most:
+        if len(self.open) >= self.most and not self._make_room():
             self.report.say("client", "no room for a further connection")
-            await anyio.aclose_forcefully(stream)
+            await self._close(stream)
             return
         seat = Seat(self, stream)
         self.open.add(seat)
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._flush, seat, tasks)
-                try:
-                    await seat.read()
-                except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
-                    pass
-                except fastcgi.Broken as error:
-                    self.report.say("client", f"connection ended: {error}")
-                tasks.cancel_scope.cancel()
+            with seat.scope:
+                await self._attend(seat)
         except Exception as error:
             self.report.say("client", f"connection ended: {type(error).__name__}: {error}")
         finally:
             self.open.discard(seat)
             seat.leave()
+            await self._close(stream)
+
+    @staticmethod
+    async def _close(stream: anyio.abc.ByteStream) -> None:
+        with contextlib.suppress(Exception):
             await anyio.aclose_forcefully(stream)
 
+    async def _attend(self, seat: Seat) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._flush, seat, tasks)
+            try:
+                await seat.read()
+            except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                pass
+            except fastcgi.Broken as error:
+                self.report.say("client", f"connection ended: {error}")
+            tasks.cancel_scope.cancel()
+
+    def _make_room(self) -> bool:
+        """Gives up the connection that has been silent for longest of those that are owed nothing."""
+        idle = [seat for seat in self.open if not (seat.owed or seat.waiting or len(seat.outgoing))]
+        if not idle:
+            return False
+        seat = min(idle, key=lambda seat: seat.heard)
+        self.open.discard(seat)
+        seat.scope.cancel()
+        return True
+
+    async def sweep(self) -> None:
+        """Gives up clients that take nothing of what they are owed."""
+        while True:
+            await anyio.sleep(STUCK_AFTER / 10)
+            before = anyio.current_time() - STUCK_AFTER
+            for seat in self.open:
+                if len(seat.outgoing) and seat.sending < before:
+                    self.report.say("client", "a client that takes nothing is given up")
+                    seat.scope.cancel()
+
     async def _flush(self, seat: Seat, tasks: anyio.abc.TaskGroup) -> None:
         with contextlib.suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
             await seat.flush()
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -221,7 +221,8 @@
                         hand.going.stale = True
             case Probed(name, ending):
                 self.probing.discard(name)
-                self.router.probed(name, ending, {}, now)
+                if ending is not Ending.UNSENT:  # for want of room here, which says nothing of the cache
+                    self.router.probed(name, ending, {}, now)
             case Asked(ticket):
                 self.effects.append(Reply(ticket, answer.health(bool(self.states) and not self.stopping)))
             case Stop():
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -185,6 +185,7 @@
             self.tasks.start_soon(self._signals)
             self.tasks.start_soon(self._timers)
             self.tasks.start_soon(self.backend.sweep)
+            self.tasks.start_soon(self.front.sweep)
             self.tasks.start_soon(self._follow)
             for listener in listeners.listeners:
                 self.tasks.start_soon(self._accept, listener)
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -299,6 +299,33 @@
     world.play(scene)
 
 
+def test_a_pooled_connection_that_has_ended_carries_no_req(world, trace):
+    world.answers = {n: [WHOLE, None] for n in range(1, 9)}
+
+    async def scene(connect):
+        client = await connect()
+        for id in range(1, 9):
+            await client.begin(id)
+            await client.end()
+        await anyio.sleep(0.05)
+        for id in range(9, 13):
+            await client.begin(id, path="/rpc/sale")
+            trace.append(await client.end())
+
+    world.play(scene)
+
+
+def test_idle_clients_make_room_for_a_new_one(world, trace):
+    async def scene(connect):
+        idle = [await connect() for _ in range(25)]
+        client = await connect()
+        await client.begin(1)
+        trace.append(await client.end())
+        trace.append(await idle[0].end())
+
+    world.play(scene, limits={"sockets": 64})
+
+
 def process(path, port):
     environ = os.environ | {"NODE_CONFIG": str(path), "NODE_LISTEN": f"127.0.0.1:{port}", "NODE_NAME": "n0"}
     return subprocess.Popen([sys.executable, "-m", "quartzrouter"], env=environ, stderr=subprocess.PIPE)
