--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -58,7 +58,8 @@
         return value
 
     def maybe(name: str, form: re.Pattern[str]) -> str | None:
-        return field(name, form) if "HTTP_" + name.upper().replace("-", "_") in params else None
+        with contextlib.suppress(Unusable):  # the req can do without
+            return field(name, form)
 
     path, _, vhost = params.get("SCRIPT_NAME", "").rpartition("/")
     keyed = uniqued(vhost) if path == "/rpc" else None
@@ -91,7 +92,8 @@
         self.intakes: dict[int, Intake] = {}
         self.tickets: dict[int, int] = {}  # record id: ticket, for reqs that are owed an answer
         self.owed: dict[int, tuple[int, bool]] = {}  # ticket: record id, keep the connection
-        self.turns: deque[tuple[int, deque[bytes]]] = deque()  # records that wait, by ticket
+        self.begun: set[int] = set()  # tickets of which a part of the answer has been given
+        self.turns: deque[int] = deque()  # tickets with records that wait
         self.waiting: dict[int, deque[bytes]] = {}
         self.emptied: dict[int, anyio.Event] = {}
         self.more = anyio.Event()
@@ -175,8 +177,10 @@
             return
         id, keep = self.owed[ticket]
         records = fastcgi.stdout(id, data)
+        self.begun.add(ticket)
         if last:
             del self.owed[ticket], self.tickets[id]
+            self.begun.discard(ticket)
             self.front.seats.pop(ticket, None)
             if not whole:
                 self.waiting.pop(ticket, None)
@@ -184,6 +188,11 @@
             self.closing |= not keep
         self.write(ticket, records)
 
+    def give_up(self, ticket: int) -> None:
+        """The end of a req that nobody else will answer any more."""
+        begun = ticket in self.begun
+        self.reply(ticket, b"" if begun else answer.aborted(), whole=not begun)
+
     def write(self, ticket: int, records: list[bytes]) -> None:
         if ticket not in self.waiting:
             self.waiting[ticket] = deque()
--- a/quartzrouter/net/journal.py
+++ b/quartzrouter/net/journal.py
@@ -19,7 +19,7 @@
 RING = 1 << 16  # bytes; a list of 2,400 lines
 LENGTH_MOST = RING - 4
 SILENT_AFTER = 3.5  # s: three empty frames and a half have not come
-PAUSE, PAUSE_MOST = 0.1, 3.0  # s before the second try to connect, and at most
+PAUSE, PAUSE_MOST = 0.1, 3.0  # s until it connects anew at first, and at most
 STATES = {"SERVING": State.UP, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 BY_NUMBER = (State.UP, State.DRAINING, State.GONE)
 
@@ -59,7 +59,7 @@
             found.append(Lines(lines, addresses, hosts.may("complete", False, bool)))
         elif "expire" in entry.told:
             purge = entry.part("expire")
-            when, obj = purge.need("stamp", int, least=0) * MS, purge.may("name", None, str)
+            when, obj = purge.need("stamp", int, least=0) * MS, purge.may("name", "", str).lower() or None
             found.append(Purge(None if obj else purge.need("set", int, least=0), obj, when))
     return found
 
@@ -110,10 +110,8 @@
     at: tuple[str, int], held: int, briefing: Briefing, feed: Callable[[Lines | Purge], None], report: Report
 ) -> None:
     """Feeds every later event, in order, for as long as it is left to run."""
-    pause = 0.0
+    pause = PAUSE
     while True:
-        await anyio.sleep(pause * random.uniform(0.5, 1.0))
-        pause = min(PAUSE_MOST, max(PAUSE, pause * 2))
         try:
             with anyio.fail_after(SILENT_AFTER):
                 stream = await anyio.connect_tcp(*at)
@@ -125,8 +123,10 @@
                         ring.put(await stream.receive(ring.free))
                     while (found := next_frame(ring)) is not None:
                         said = frame(held, *found, briefing)
-                        held, pause = found[0], 0.0
+                        held, pause = found[0], PAUSE
                         if said is not None:
                             feed(said)
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, TimeoutError, Spoilt) as error:
             report.say("journal", f"{type(error).__name__} {error} after event {held}, connecting anew")
+        await anyio.sleep(pause * random.uniform(0.5, 1.0))
+        pause = min(PAUSE_MOST, pause * 2)
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -18,7 +18,8 @@
 
 MS = 1_000
 STOP_AFTER = 1_000 * MS  # us from SIGTERM: reqs keep arriving for 0.7 s, and a little for a busy machine
-DONE, SAME, LACKING, ERROR, FULL, OVER = 200, 304, 404, 500, 503, 504  # what a cache answers
+NEVER = 1 << 62  # us
+DONE, SAME, LACKING, FULL, OVER = 200, 304, 404, 503, 504  # what a cache answers; others are errors
 
 
 class Call(NamedTuple):
@@ -33,7 +34,6 @@
     key: str | None = None
     held: str | None = None  # the tag of the client's copy
     body: bytes = b""
-    size_kb: float = 0.0
 
 
 # -- events ----------------------------------------------------------------------------------------
@@ -217,7 +217,7 @@
             case Purge(group, obj, when):
                 self.router.purged(group, obj, max(0, now - when), now)
                 for hand in self.hands.values():
-                    if hand.going and (hand.call.obj == obj if obj else hand.call.group == group):
+                    if hand.going and (hand.call.obj.lower() == obj if obj else hand.call.group == group):
                         hand.going.stale = True
             case Probed(name, ending):
                 self.probing.discard(name)
@@ -236,9 +236,9 @@
     @property
     def due(self) -> int:
         """When the next timer fires; those of what is over are passed over, so that nobody wakes for them."""
-        while self._idle(self.timers[0][2]):
+        while self.timers and self._idle(self.timers[0][2]):
             heapq.heappop(self.timers)
-        return self.timers[0][0]
+        return self.timers[0][0] if self.timers else NEVER
 
     def _idle(self, what: tuple) -> bool:
         match what:
@@ -283,7 +283,12 @@
             self._reply(ticket, answer.denied(0))
             return
         self._timer(now + call.timeout, "req", ticket)
-        self.take(Req(ticket, call.vhost, call.obj, call.group, call.part, call.size_kb, call.timeout), now)
+        self.take(
+            Req(
+                ticket, call.vhost, call.obj.lower(), call.group, call.part, size_kb=0.0, timeout=call.timeout
+            ),
+            now,
+        )
 
     def _left(self, ticket: int, now: int) -> None:
         if hand := self.hands.get(ticket):
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -13,7 +13,7 @@
 from quartzrouter import control
 from quartzrouter.briefing import Post, Unusable
 from quartzrouter.interface import Effect as RepeatEffect
-from quartzrouter.net import answer, journal
+from quartzrouter.net import journal
 from quartzrouter.net.backend import Backend
 from quartzrouter.net.front import Front
 from quartzrouter.net.reducer import (
@@ -59,7 +59,7 @@
         )  # fmt: skip
         self.flights: dict[tuple[int, int], Flight] = {}
         self.events: deque[Event] = deque()
-        self.feeding = False
+        self.feeding, self.now = False, 0
         self.changed = anyio.Event()  # the reducer's next timer
         self.tasks: anyio.abc.TaskGroup
 
@@ -76,24 +76,25 @@
             self.feeding = False
 
     def _step(self, event: Event) -> None:
-        due = self.reducer.due
+        due, failed = self.reducer.due, None
         if isinstance(event, Over) and event.failure:
             failure = event.failure
             self.report.say("dispatch", f"{failure.cause.name} while {failure.stage.name}: {failure.detail}")
         try:
-            effects = self.reducer.step(event, clock())
+            self.now = max(self.now, clock())  # which may be set back
+            effects = self.reducer.step(event, self.now)
         except Exception:
             self.report.say("fault", f"{type(event).__name__}: {traceback.format_exc()}")
             effects = self.reducer.effects
-            ticket = getattr(event, "ticket", None)
-            if ticket is not None and not isinstance(event, Left):
-                self._perform(Reply(ticket, answer.aborted(), whole=False))
-                self.events.append(Left(ticket))
+            if not isinstance(event, Left) and (failed := getattr(event, "ticket", None)) is not None:
+                self.events.append(Left(failed))
         for effect in effects:
             try:
                 self._perform(effect)
             except Exception:
                 self.report.say("fault", f"{type(effect).__name__}: {traceback.format_exc()}")
+        if seat := self.front.seats.get(failed):
+            seat.give_up(failed)
         if self.reducer.due < due:
             self.changed.set()
 
@@ -140,7 +141,7 @@
             if wait > 0:
                 with anyio.move_on_after(wait):
                     await self.changed.wait()
-            if self.reducer.due <= clock():
+            if self.reducer.due <= max(self.now, clock()):
                 self.feed(Tick())
                 await anyio.lowlevel.checkpoint()
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -138,7 +138,8 @@
                     self.tell(cache, await self.listen(tasks, self.journal), **other)
                     port = await free_port()
                     environ = {"NODE_CONFIG": str(self.path), "NODE_LISTEN": f"127.0.0.1:{port}"}
-                    tasks.start_soon(serve.Service(serve.Post(environ)).run)
+                    self.service = serve.Service(serve.Post(environ))
+                    tasks.start_soon(self.service.run)
                     await scene(lambda: self.connect(port))
                     tasks.cancel_scope.cancel()
 
@@ -315,6 +316,23 @@
     world.play(scene)
 
 
+def test_a_fault_costs_one_req_its_answer_and_nothing_else(world, trace, capsys):
+    async def scene(connect):
+        client, decisions = await connect(), world.service.reducer.router
+        for call in ("route", "begun", "after", "left", "wait"):
+            setattr(decisions, call, lambda *arguments: 1 / 0)
+            await client.begin(1)
+            if call == "left":
+                await client.send((fastcgi.ABORT, b""))
+            trace.append(f"{call}: {await client.end()}")
+            delattr(decisions, call)
+        await client.begin(2)
+        trace.append(await client.end())
+
+    world.play(scene)
+    assert "ZeroDivisionError" in capsys.readouterr().err
+
+
 def test_idle_clients_make_room_for_a_new_one(world, trace):
     async def scene(connect):
         idle = [await connect() for _ in range(25)]
