--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -59,7 +59,8 @@
 
     def raw(self) -> socket.socket:
         """A socket object for the descriptor, which the loop keeps: to be detached, not closed."""
-        return socket.socket(fileno=self.stream.extra(anyio.abc.SocketAttribute.raw_socket).fileno())
+        held = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        return socket.socket(held.family, socket.SOCK_STREAM, 0, held.fileno())
 
     def quiet(self) -> bool:
         """Nothing has come since the last answer, no end either: the next req goes out on a live one."""
@@ -244,7 +245,7 @@
         while True:
             await anyio.sleep(self.idle_most / 10)
             before = anyio.current_time() - self.idle_most
-            for lines in self.pool.values():
+            for lines in list(self.pool.values()):  # others come up meanwhile
                 while lines and lines[0].idle_since < before:
                     await self._close(lines.pop(0))
 
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -165,9 +165,9 @@
         self.tasks.cancel_scope.cancel()
 
     async def _signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM) as received:
-            async for _ in received:
-                self.report.say("process", "SIGTERM: finishing what is in hand")
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            async for number in received:
+                self.report.say("process", f"{number.name}: finishing what is in hand")
                 self.feed(Stop())
 
     async def run(self) -> None:
