Bound the bytes of reqs held and the records that wait for a client

Reckoned, not seen: 341 connections with 32 half-sent bodies each come to 520 MB of 192, and a client that floods and reads nothing let its answers pile up without end. Bodies are now within an eighth of the told memory, beyond that a req is denied; a connection with 256 waiting records is not read.

--- a/quartzrouter/briefing.py
+++ b/quartzrouter/briefing.py
@@ -183,7 +183,9 @@
             self.seed = int(seed, 16)
         except ValueError:
             raise Unusable(f"seed is {seed!r:.60}") from None
-        self.sockets = told.part("limits").may("sockets", 1024, int, least=64)
+        limits = told.part("limits")
+        self.sockets = limits.may("sockets", 1024, int, least=64)
+        self.memory = limits.may("memory_mb", 192, int, least=1) << 20
         known = told.part("known")
         self.position = known.count("pos")
         self.known = known.parts("entries")
--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -17,6 +17,7 @@
 PARAMS_MOST = 1 << 14  # bytes
 BODY_MOST = 48_000  # bytes
 TIMEOUT_MOST = 3_600_000  # ms; a longer one is no figure
+RECORDS_MOST = 256  # that wait on one connection: then nothing more is read from it until some have gone out
 STUCK_AFTER = 10.0  # s in which a client takes no byte of what is owed: then it counts as gone
 TOKEN = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
 KEY = re.compile(r"[0-9a-f]{32}", re.ASCII | re.IGNORECASE)
@@ -31,14 +32,20 @@
         self.params, self.body = bytearray(), bytearray()
         self.status = 0  # of the final answer, once it can't be used
 
-    def add(self, kind: int, data: bytes) -> bool:
-        """Takes content in; whether the req is whole."""
+    @property
+    def size(self) -> int:
+        return len(self.params) + len(self.body)
+
+    def add(self, kind: int, data: bytes, room: int) -> bool:
+        """Takes content in, while there is room for it; whether the req is whole."""
         most, into = (PARAMS_MOST, self.params) if kind == fastcgi.PARAMS else (BODY_MOST, self.body)
         if not data:
             self.named |= kind == fastcgi.PARAMS
             return kind == fastcgi.STDIN
         if len(into) + len(data) > most:
             self.status = 413
+        elif len(data) > room:
+            self.status = 503
         elif not self.status:
             into += data
         return False
@@ -91,12 +98,12 @@
         self.incoming, self.outgoing = Ring(fastcgi.RECORD_MOST), Ring(OUTGOING)
         self.intakes: dict[int, Intake] = {}
         self.tickets: dict[int, int] = {}  # record id: ticket, for reqs that are owed an answer
-        self.owed: dict[int, tuple[int, bool]] = {}  # ticket: record id, keep the connection
+        self.owed: dict[int, tuple[int, bool, int]] = {}  # ticket: record id, keep the connection, bytes held
         self.begun: set[int] = set()  # tickets of which a part of the answer has been given
         self.turns: deque[int] = deque()  # tickets with records that wait
         self.waiting: dict[int, deque[bytes]] = {}
         self.emptied: dict[int, anyio.Event] = {}
-        self.more = anyio.Event()
+        self.more, self.eased = anyio.Event(), anyio.Event()
         self.closing = False
         self.scope = anyio.CancelScope()
         self.heard = self.sending = anyio.current_time()  # last bytes in; since when the same bytes go out
@@ -105,6 +112,9 @@
 
     async def read(self) -> None:
         while not self.closing:
+            while sum(map(len, self.waiting.values())) > RECORDS_MOST:
+                self.eased = anyio.Event()
+                await self.eased.wait()
             self.incoming.put(await self.stream.receive(self.incoming.free))
             self.heard = anyio.current_time()
             while (record := fastcgi.next_record(self.incoming)) is not None:
@@ -126,8 +136,12 @@
         elif kind == fastcgi.ABORT:
             self._abort(id)
         elif kind in (fastcgi.PARAMS, fastcgi.STDIN):
-            intake = self.intakes.get(id)
-            if intake is not None and intake.add(kind, content):
+            if (intake := self.intakes.get(id)) is None:
+                return
+            before = intake.size
+            whole = intake.add(kind, content, self.front.room)
+            self.front.room -= intake.size - before
+            if whole:
                 del self.intakes[id]
                 self._whole(id, intake)
         elif kind != fastcgi.DATA:
@@ -146,7 +160,8 @@
             self.intakes[id] = Intake(bool(content[2] & fastcgi.KEEP_CONN))
 
     def _abort(self, id: int) -> None:
-        if self.intakes.pop(id, None) is not None:
+        if (intake := self.intakes.pop(id, None)) is not None:
+            self.front.room += intake.size
             self.write(0, [fastcgi.end(id, whole=False)])
         elif (ticket := self.tickets.get(id)) is not None:
             self.waiting.pop(ticket, None)
@@ -155,8 +170,11 @@
 
     def _whole(self, id: int, intake: Intake) -> None:
         ticket = self.front.ticket(self)
-        self.tickets[id], self.owed[ticket] = ticket, (id, intake.keep)
+        self.tickets[id], self.owed[ticket] = ticket, (id, intake.keep, intake.size)
         try:
+            if intake.status == 503:
+                self.reply(ticket, answer.denied(0))
+                return
             if intake.status or not intake.named:
                 raise Unusable("too long" if intake.status else "parameters without an end")
             params = fastcgi.pairs(bytes(intake.params))
@@ -175,13 +193,14 @@
     def reply(self, ticket: int, data: bytes, last: bool = True, whole: bool = True) -> None:
         if ticket not in self.owed:
             return
-        id, keep = self.owed[ticket]
+        id, keep, size = self.owed[ticket]
         records = fastcgi.stdout(id, data)
         self.begun.add(ticket)
         if last:
             del self.owed[ticket], self.tickets[id]
             self.begun.discard(ticket)
             self.front.seats.pop(ticket, None)
+            self.front.room += size
             if not whole:
                 self.waiting.pop(ticket, None)
             records += ([fastcgi.record(fastcgi.STDOUT, id, b"")] if whole else []) + [fastcgi.end(id, whole)]
@@ -226,6 +245,7 @@
                 self.sending, data = anyio.current_time(), self.outgoing.peek(OUTGOING)
                 await self.stream.send(data)
                 self.outgoing.drop(len(data))
+                self.eased.set()
             elif self.closing and not self.owed:
                 return
             elif not self.turns:
@@ -233,7 +253,9 @@
                 await self.more.wait()
 
     def leave(self) -> None:
-        for ticket in list(self.owed):
+        self.front.room += sum(intake.size for intake in self.intakes.values())
+        for ticket, (_, _, size) in list(self.owed.items()):
+            self.front.room += size
             self.front.seats.pop(ticket, None)
             self.front.feed(Left(ticket))
         self.owed.clear()
@@ -244,9 +266,11 @@
 
 class Front:
     def __init__(
-        self, feed: Callable[[Event], None], most: int, uniqued: Callable[[str], bool | None], report: Report
-    ):
+        self, feed: Callable[[Event], None], most: int, room: int, uniqued: Callable[[str], bool | None],
+        report: Report,
+    ):  # fmt: skip
         self.feed, self.most, self.uniqued, self.report = feed, most, uniqued, report
+        self.room = room  # bytes of reqs that may still be held
         self.tickets = 0
         self.seats: dict[int, Seat] = {}  # by ticket
         self.open: set[Seat] = set()
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -22,6 +22,7 @@
 from quartzrouter.net.report import Forward, Report
 
 RESERVE = 24  # descriptors for the listener, the journal service, the loop, the log and Python itself
+REQS_SHARE = 8  # of the memory told, one part in so many may hold clients' reqs, parameters and bodies
 BACKLOG = 1024  # connections that wait to be accepted
 FLUSH_EVERY = 0.005  # s between looks whether the last answers have gone out
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
@@ -52,7 +53,7 @@
         self.reducer = Reducer(post.briefing)
         clients = post.sockets // 3
         effects = {vhost.name: vhost.effect is RepeatEffect.UNIQUED for vhost in post.briefing.vhosts}
-        self.front = Front(self.feed, clients, effects.get, self.report)
+        self.front = Front(self.feed, clients, post.memory // REQS_SHARE, effects.get, self.report)
         self.backend = Backend(
             self.feed, post.sockets - clients - RESERVE,
             post.briefing.idle_most / 1e6, post.briefing.connect_within / 1e6,
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -11,7 +11,7 @@
 import pytest
 
 from conftest import SETUP
-from quartzrouter.net import fastcgi, serve
+from quartzrouter.net import fastcgi, front, serve
 from quartzrouter.net.ring import Ring
 
 MARKS = b"X-Tag: 4be0c1927d55a6f3\r\nX-Minted: 1764576000123\r\n"
@@ -333,6 +333,50 @@
     assert "ZeroDivisionError" in capsys.readouterr().err
 
 
+def test_bytes_of_reqs_are_bounded_and_given_back(world, trace):
+    async def scene(connect):
+        client, room = await connect(), world.service.front.room
+        for id in range(1, 5):
+            begin = (fastcgi.BEGIN, bytes((0, 1, 1, 0, 0, 0, 0, 0)))
+            await client.send(begin, (fastcgi.PARAMS, b""), (fastcgi.STDIN, bytes(40_000)), id=id)
+        for id in (4, 1):
+            await client.send((fastcgi.STDIN, b""), id=id)
+            trace.append(await client.end())
+        await client.send((fastcgi.ABORT, b""), id=2)
+        trace.append(await client.end())
+        await client.stream.aclose()
+        await anyio.sleep(0.05)
+        trace.append(f"{room} bytes, at the end {world.service.front.room}")
+
+    world.play(scene, limits={"sockets": 128, "memory_mb": 1})
+
+
+def test_a_client_that_floods_and_reads_nothing_is_not_read(trace):
+    class Stuck:
+        """A connection that takes nothing and has ever more to say."""
+
+        taken = 0
+
+        async def receive(self, most):
+            await anyio.sleep(0)
+            self.taken += 1
+            return fastcgi.record(fastcgi.GET_VALUES, 0, b"\x0f\x00FCGI_MPXS_CONNS") * (most // 32)
+
+        async def send(self, data):
+            await anyio.sleep_forever()
+
+        async def aclose(self):
+            pass
+
+    async def run():
+        flood, room = Stuck(), front.Front(None, 9, 9, None, None)
+        with anyio.move_on_after(0.2):
+            await room.serve(flood)
+        trace.append(f"{flood.taken} reads, {len(room.open)} open")
+
+    anyio.run(run)
+
+
 def test_idle_clients_make_room_for_a_new_one(world, trace):
     async def scene(connect):
         idle = [await connect() for _ in range(25)]
