--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -173,6 +173,7 @@
         self.tickets[id], self.owed[ticket] = ticket, (id, intake.keep, intake.size)
         try:
             if intake.status == 503:
+                self.front.report.say("client", "no room for the bytes of a req")
                 self.reply(ticket, answer.denied(0))
                 return
             if intake.status or not intake.named:
