A connection that isn't up when its dispatch's time is out puts its cache in doubt

The new ending NOT_UP proves that nothing ran and leads to a probe. A bad mark was ruled out: at the end of a req's time a dispatch may have no time to connect.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -583,7 +583,7 @@
             if not lost:
                 self.health.doubt(n, now)
             refused = ending is Ending.FULL and be.tier is not Tier.PARENT
-            if not refused and ending not in (Ending.LACKING, Ending.LATE):
+            if not refused and ending not in (Ending.LACKING, Ending.LATE, Ending.NOT_UP):  # doubt is enough
                 self.health.bad(n, roster.peers[be.tier], now, be.name, lost)
 
     def _give_up(self, flight: Flight) -> Deny | Abort:
--- a/quartzrouter/interface.py
+++ b/quartzrouter/interface.py
@@ -37,6 +37,7 @@
     CUT = ("cut", False)
     CALLED_OFF = ("called off", False)
     UNSENT = ("unsent", True)
+    NOT_UP = ("not up", True)  # no connection yet when its time was out
     LACKING = ("lacking", True)
 
     @property
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -380,7 +380,7 @@
             case ("hop", ticket, hop):
                 going = self._going(ticket, hop)
                 if going and now >= going.until:
-                    self._end(ticket, going, Ending.LATE if going.ready else Ending.UNSENT, now)
+                    self._end(ticket, going, Ending.LATE if going.ready else Ending.NOT_UP, now)
             case ("req", ticket):
                 hand = self.hands.get(ticket)
                 if hand and not hand.gone:  # the decisions end it sooner; should they not, here it ends
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -160,3 +160,12 @@
         if drive.req(n, "clip", obj).source == "p2":
             drive.end(n, Ending.FULL)
         drive.end(n, Ending.DONE, quiet=True)
+
+
+def test_a_cache_whose_connections_do_not_come_up_is_doubted_and_nothing_ran(drive):
+    drive.req(1, "vote")
+    drive.req(2, "page", obj="b")
+    drive.pass_(500)
+    for id in (1, 2):
+        drive.end(id, Ending.NOT_UP)
+    drive.print(f"probes {drive.router.wait(drive.now).probes}")
