--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -21,6 +21,7 @@
 )  # fmt: skip
 from quartzrouter.net.report import Forward, Report
 
+LOOP = {"use_uvloop": True}
 RESERVE = 24  # descriptors for the listener, the journal service, the loop, the log and Python itself
 REQS_SHARE = 8  # of the memory told, one part in so many may hold clients' reqs, parameters and bodies
 BACKLOG = 1024  # connections that wait to be accepted
@@ -196,7 +197,7 @@
 
 def main(environ) -> int:
     try:
-        anyio.run(Service(Post(environ)).run, backend_options={"use_uvloop": True})
+        anyio.run(Service(Post(environ)).run, backend_options=LOOP)
     except Unusable as error:
         print(f"quartzrouter: {error}", file=sys.stderr)
         return 1
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -143,7 +143,7 @@
                     await scene(lambda: self.connect(port))
                     tasks.cancel_scope.cancel()
 
-        anyio.run(run)
+        anyio.run(run, backend_options=serve.LOOP)
 
     async def connect(self, port):
         while True:
@@ -374,7 +374,7 @@
             await room.serve(flood)
         trace.append(f"{flood.taken} reads, {len(room.open)} open")
 
-    anyio.run(run)
+    anyio.run(run, backend_options=serve.LOOP)
 
 
 def test_idle_clients_make_room_for_a_new_one(world, trace):
@@ -426,4 +426,4 @@
                 assert "Traceback" not in error
                 tasks.cancel_scope.cancel()
 
-    anyio.run(run)
+    anyio.run(run, backend_options=serve.LOOP)
