Read over: one place for lost connections, the clock and the tests' lists; dead code out

The four lists of what a lost stream raises are LOST in progress.py; an answer that never comes is raised where it is read (backend.py, Line.next), not in dispatch and probe each; the clock is read by one method; the reducer uses the Router's own table of vhosts. Out: a cause nobody named, a sink nobody gave, a task that only passed its arguments on. Tests share one frame, one list of caches and one BEGIN_REQUEST.

--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -9,7 +9,7 @@
 import h11
 
 from quartzrouter.interface import Ending, Told
-from quartzrouter.net.progress import Cause, Failure, Stage
+from quartzrouter.net.progress import LOST, Cause, Failure, Stage
 from quartzrouter.net.reducer import Data, Event, Head, Over, Probe, Probed, Ready, Write
 from quartzrouter.net.ring import Ring
 
@@ -55,6 +55,8 @@
                     self.http.receive_data(b"")
                     continue
             self.http.receive_data(self.incoming.take(RING))
+        if isinstance(event, h11.ConnectionClosed):
+            raise anyio.BrokenResourceError
         return event
 
     def raw(self) -> socket.socket:
@@ -184,15 +186,13 @@
                     if len(line.incoming) or line.http.trailing_data[0]:
                         raise Unreadable("more bytes than announced")
                     break
-                elif isinstance(event, h11.ConnectionClosed):
-                    raise anyio.BrokenResourceError
             over()
             await room()
             kept, line = line, None
             await self._keep(name, kept)
         except (h11.RemoteProtocolError, Unreadable) as error:
             over(Cause.MALFORMED, error)
-        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream) as error:
+        except LOST as error:
             over(Cause.RESET, error)
         except Exception as error:
             if not ended:
@@ -220,13 +220,11 @@
                 while not isinstance(event := await line.next(), h11.EndOfMessage):
                     if isinstance(event, h11.Response) and event.status_code == 200:
                         ending = Ending.DONE
-                    elif isinstance(event, h11.ConnectionClosed):
-                        raise anyio.BrokenResourceError
                 kept, line = line, None
                 await self._keep(probe.name, kept)
             if scope.cancelled_caught:
                 ending = Ending.LATE
-        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream):
+        except LOST:
             ending = Ending.CUT
         except Exception:
             ending = Ending.ERROR
--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -8,6 +8,7 @@
 import anyio
 
 from quartzrouter.net import answer, fastcgi
+from quartzrouter.net.progress import LOST
 from quartzrouter.net.reducer import Asked, Call, Came, Event, Left
 from quartzrouter.net.report import Report
 from quartzrouter.net.ring import Ring
@@ -191,6 +192,10 @@
 
     # -- writing -----------------------------------------------------------------------------------
 
+    @property
+    def unsent(self) -> bool:
+        return bool(self.waiting or len(self.outgoing))
+
     def reply(self, ticket: int, data: bytes, last: bool = True, whole: bool = True) -> None:
         if ticket not in self.owed:
             return
@@ -278,7 +283,7 @@
 
     @property
     def flushed(self) -> bool:
-        return not any(seat.waiting or len(seat.outgoing) for seat in self.open)
+        return not any(seat.unsent for seat in self.open)
 
     def ticket(self, seat: Seat) -> int:
         self.tickets += 1
@@ -313,7 +318,7 @@
             tasks.start_soon(self._flush, seat, tasks)
             try:
                 await seat.read()
-            except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            except LOST:
                 pass
             except fastcgi.Broken as error:
                 self.report.say("client", f"connection ended: {error}")
@@ -321,7 +326,7 @@
 
     def _make_room(self) -> bool:
         """Gives up the connection that has been silent for longest of those that are owed nothing."""
-        idle = [seat for seat in self.open if not (seat.owed or seat.waiting or len(seat.outgoing))]
+        idle = [seat for seat in self.open if not (seat.owed or seat.unsent)]
         if not idle:
             return False
         seat = min(idle, key=lambda seat: seat.heard)
@@ -340,6 +345,6 @@
                     seat.scope.cancel()
 
     async def _flush(self, seat: Seat, tasks: anyio.abc.TaskGroup) -> None:
-        with contextlib.suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+        with contextlib.suppress(*LOST):
             await seat.flush()
         tasks.cancel_scope.cancel()
--- a/quartzrouter/net/journal.py
+++ b/quartzrouter/net/journal.py
@@ -9,6 +9,7 @@
 
 from quartzrouter.briefing import Briefing, Section, address
 from quartzrouter.interface import Listed, State
+from quartzrouter.net.progress import LOST
 from quartzrouter.net.report import Report
 from quartzrouter.net.ring import Ring
 
@@ -126,7 +127,7 @@
                         held, pause = found[0], PAUSE
                         if said is not None:
                             feed(said)
-        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, TimeoutError, Spoilt) as error:
+        except (*LOST, Spoilt) as error:
             report.say("journal", f"{type(error).__name__} {error} after event {held}, connecting anew")
         await anyio.sleep(pause * random.uniform(0.5, 1.0))
         pause = min(PAUSE_MOST, pause * 2)
--- a/quartzrouter/net/progress.py
+++ b/quartzrouter/net/progress.py
@@ -3,8 +3,13 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+import anyio
+
 from quartzrouter.interface import Ending
 
+# what a stream raises once its connection has ended
+LOST = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
 
 class Stage(IntEnum):
     CONNECTING = 0
@@ -19,7 +24,6 @@
     RESET = 2
     MALFORMED = 3
     DIED = 4  # the task that served it
-    LATE = 5
 
 
 class Failure(NamedTuple):
@@ -30,6 +34,4 @@
     def ending(self) -> Ending:
         if self.stage <= Stage.CONNECTED:
             return Ending.NO_CONNECTION if self.cause is Cause.REFUSED else Ending.UNSENT
-        if self.cause is Cause.LATE:
-            return Ending.LATE
         return Ending.ERROR if self.cause is Cause.MALFORMED else Ending.CUT
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -183,7 +183,6 @@
 class Reducer(Desk):
     def __init__(self, briefing: Briefing):
         super().__init__(Router(**briefing.arguments))
-        self.vhosts = {vhost.name: vhost for vhost in briefing.vhosts}
         self.hands: dict[int, InHand] = {}
         self.timers: list[tuple[int, int, tuple]] = []  # when due, a number that keeps the order, for what
         self.numbers = 0
@@ -322,7 +321,8 @@
     def _head(self, ticket: int, going: Going, head: Head, now: int) -> None:
         call = self.hands[ticket].call
         going.head = head
-        unmarked = head.status in (DONE, SAME) and not head.marked and not self.vhosts[call.vhost].never_kept
+        kept = not self.router.vhosts[call.vhost].never_kept
+        unmarked = head.status in (DONE, SAME) and kept and not head.marked
         if unmarked or (head.status == SAME and not call.held):
             self._end(ticket, going, Ending.ERROR, now)  # nothing that may be passed on; it may have run
 
--- a/quartzrouter/net/report.py
+++ b/quartzrouter/net/report.py
@@ -10,8 +10,8 @@
 
 
 class Report:
-    def __init__(self, name: str, clock: Callable[[], int], sink=None):
-        self.name, self.clock, self.sink = name, clock, sink
+    def __init__(self, name: str, clock: Callable[[], int]):
+        self.name, self.clock = name, clock
         self.kinds: dict[str, list[float]] = {}  # kind: lines that may go, when that was reckoned, left out
 
     def say(self, kind: str, line: str) -> None:
@@ -26,7 +26,7 @@
             return
         more = f" ({state[2]:.0f} like it left out)" if state[2] else ""
         state[0], state[2] = state[0] - 1, 0
-        print(f"quartzrouter {self.name}: {kind}: {line}{more}", file=self.sink or sys.stderr, flush=True)
+        print(f"quartzrouter {self.name}: {kind}: {line}{more}", file=sys.stderr, flush=True)
 
 
 class Forward(logging.Handler):
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -77,14 +77,17 @@
         finally:
             self.feeding = False
 
+    def _time(self) -> int:
+        self.now = max(self.now, clock())  # which may be set back
+        return self.now
+
     def _step(self, event: Event) -> None:
         due, failed = self.reducer.due, None
         if isinstance(event, Over) and event.failure:
             failure = event.failure
             self.report.say("dispatch", f"{failure.cause.name} while {failure.stage.name}: {failure.detail}")
         try:
-            self.now = max(self.now, clock())  # which may be set back
-            effects = self.reducer.step(event, self.now)
+            effects = self.reducer.step(event, self._time())
         except Exception:
             self.report.say("fault", f"{type(event).__name__}: {traceback.format_exc()}")
             effects = self.reducer.effects
@@ -139,18 +142,14 @@
     async def _timers(self) -> None:
         while True:
             self.changed = anyio.Event()
-            wait = (self.reducer.due - clock()) / 1e6
+            wait = (self.reducer.due - self._time()) / 1e6
             if wait > 0:
                 with anyio.move_on_after(wait):
                     await self.changed.wait()
-            if self.reducer.due <= max(self.now, clock()):
+            if self.reducer.due <= self._time():
                 self.feed(Tick())
                 await anyio.lowlevel.checkpoint()
 
-    async def _follow(self) -> None:
-        post = self.post
-        await journal.follow(post.journal, post.position, post.briefing, self.feed, self.report)
-
     async def _accept(self, listener) -> None:
         while True:
             try:
@@ -173,11 +172,11 @@
                 self.feed(Stop())
 
     async def run(self) -> None:
-        now = clock()
+        post, now = self.post, self._time()
         self.reducer.step(Tick(), now)
-        for event in journal.known(self.post.known, self.post.briefing):
+        for event in journal.known(post.known, post.briefing):
             self.reducer.step(event, now)
-        host, port = self.post.listen
+        host, port = post.listen
         try:
             listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=BACKLOG)
         except OSError as error:
@@ -189,7 +188,9 @@
             self.tasks.start_soon(self._timers)
             self.tasks.start_soon(self.backend.sweep)
             self.tasks.start_soon(self.front.sweep)
-            self.tasks.start_soon(self._follow)
+            self.tasks.start_soon(
+                journal.follow, post.journal, post.position, post.briefing, self.feed, self.report
+            )
             for listener in listeners.listeners:
                 self.tasks.start_soon(self._accept, listener)
         self.report.say("process", "stopped")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -47,6 +47,26 @@
     return VHost(name, effect, **(given | other))
 
 
+def listed(states, started=0):
+    """Lines of the list, by the first letter of a name: caches, parents, the origin."""
+    tiers = {
+        "c": (Tier.CACHE, "box", 6.0),
+        "p": (Tier.PARENT, "parent", 20.0),
+        "o": (Tier.ORIGIN, "origin", 8.0),
+    }
+    found = []
+    for name, state in states.items():
+        tier, kind, rating = tiers[name[0]]
+        location = "north" if tier is Tier.CACHE else "hub"
+        found.append(Listed(name, location, tier, kind, 0, State(state), rating, started))
+    return found
+
+
+def frame(number, kind, payload=b""):
+    """A frame of the journal service."""
+    return (9 + len(payload)).to_bytes(4, "big") + number.to_bytes(8, "big") + bytes((kind,)) + payload
+
+
 class Drive(logging.Handler):
     """Three caches c1 to c3, two parents p1 and p2, the origin o; 1000 KB take a second to send."""
 
@@ -79,14 +99,7 @@
         self.lines.append(f"{self.now // MS - 10_000:6d} ms  {text}")
 
     def list(self, whole=False, started=0, **states):
-        tiers = {"c": (Tier.CACHE, 6.0), "p": (Tier.PARENT, 20.0), "o": (Tier.ORIGIN, 8.0)}
-        self.router.heard(
-            [
-                Listed(name, "north" if name[0] == "c" else "hub", tiers[name[0]][0], "box", 0, State(state),
-                       tiers[name[0]][1], started)
-                for name, state in states.items()
-            ], whole, self.now,
-        )  # fmt: skip
+        self.router.heard(listed(states, started), whole, self.now)
 
     def pass_(self, ms):
         self.now += ms * MS
@@ -145,23 +158,8 @@
         self.list(whole=True, c1="up", c2="up", p1="up", o="up")
 
     def list(self, whole=False, **states):
-        kinds = {"c": "box", "p": "parent", "o": "origin"}
-        tiers = {"c": Tier.CACHE, "p": Tier.PARENT, "o": Tier.ORIGIN}
-        lines = [
-            Listed(
-                name,
-                "north" if name[0] == "c" else "hub",
-                tiers[name[0]],
-                kinds[name[0]],
-                0,
-                State(state),
-                6.0,
-                0,
-            )
-            for name, state in states.items()
-        ]
         addresses = {name: (f"127.0.0.{n}", 80) for n, name in enumerate(states, 1)}
-        self.do(f"list {states}", journal.Lines(lines, addresses, whole))
+        self.do(f"list {states}", journal.Lines(listed(states), addresses, whole))
 
     def came(self, ticket, vhost="page", **other):
         given = {
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -5,7 +5,7 @@
 import h11
 import pytest
 
-from conftest import SETUP
+from conftest import SETUP, frame
 from quartzrouter.briefing import Briefing, Post, Section, Unusable
 from quartzrouter.net import answer, backend, fastcgi, front, journal
 from quartzrouter.net.ring import Ring
@@ -98,10 +98,6 @@
         trace.append(f"{status} {fields}: {said}")
 
 
-def frame(number, kind, payload=b""):
-    return (9 + len(payload)).to_bytes(4, "big") + number.to_bytes(8, "big") + bytes((kind,)) + payload
-
-
 LINE = bytes.fromhex("00c41f7a 7f080103 20fb 01 01 00 0002 00002904 0000019ab3c4d5e6".replace(" ", ""))
 
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -10,7 +10,7 @@
 import anyio
 import pytest
 
-from conftest import SETUP
+from conftest import SETUP, frame
 from quartzrouter.net import fastcgi, front, serve
 from quartzrouter.net.ring import Ring
 
@@ -18,6 +18,10 @@
 WHOLE = b"HTTP/1.1 200 OK\r\n" + MARKS + b"Content-Length: 5\r\n\r\nabcde"
 
 
+def begin(role=fastcgi.RESPONDER):
+    return fastcgi.BEGIN, bytes((0, role, fastcgi.KEEP_CONN, 0, 0, 0, 0, 0))
+
+
 class Client:
     """Speaks FastCGI, and shows what comes back."""
 
@@ -31,7 +35,7 @@
         } | other  # fmt: skip
         params = b"".join(bytes((len(k), len(v))) + k.encode() + v.encode() for k, v in fields.items())
         pieces = [
-            (fastcgi.BEGIN, bytes((0, role, 1, 0, 0, 0, 0, 0))),
+            begin(role),
             (fastcgi.PARAMS, params),
             (fastcgi.PARAMS, b""),
         ]
@@ -217,7 +221,7 @@
         await client.stream.send(fastcgi.record(fastcgi.GET_VALUES, 0, b"\x0f\x00FCGI_MPXS_CONNS"))
         trace.append(await client.end())
         for id in range(1, 34):
-            await client.send((fastcgi.BEGIN, bytes((0, 1, 1, 0, 0, 0, 0, 0))), id=id)
+            await client.send(begin(), id=id)
         trace.append(await client.end())
         await client.send((fastcgi.ABORT, b""), id=7)
         trace.append(await client.end())
@@ -260,9 +264,6 @@
 
 
 def test_a_journal_that_fails_is_asked_anew_from_the_last_number(world, trace):
-    def frame(number, kind, payload=b""):
-        return (9 + len(payload)).to_bytes(4, "big") + number.to_bytes(8, "big") + bytes((kind,)) + payload
-
     frames = [
         frame(1, 0) + frame(2, 3, bytes(16)) + b"\x00", b"\xff" * 20, frame(9, 3, bytes(16)), b"",
         frame(3, 4, bytes(10)) + frame(3, 4, bytes(10)), frame(3, 0),
@@ -337,8 +338,7 @@
     async def scene(connect):
         client, room = await connect(), world.service.front.room
         for id in range(1, 5):
-            begin = (fastcgi.BEGIN, bytes((0, 1, 1, 0, 0, 0, 0, 0)))
-            await client.send(begin, (fastcgi.PARAMS, b""), (fastcgi.STDIN, bytes(40_000)), id=id)
+            await client.send(begin(), (fastcgi.PARAMS, b""), (fastcgi.STDIN, bytes(40_000)), id=id)
         for id in (4, 1):
             await client.send((fastcgi.STDIN, b""), id=id)
             trace.append(await client.end())
