--- a/quartzrouter/net/answer.py
+++ b/quartzrouter/net/answer.py
@@ -6,6 +6,8 @@
     200: "OK",
     400: "Bad Request",
     404: "Not Found",
+    408: "Request Timeout",
+    409: "Conflict",
     413: "Content Too Large",
     502: "Bad Gateway",
     503: "Service Unavailable",
--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -15,6 +15,7 @@
 from quartzrouter.net.ring import Ring
 
 RING = 1 << 14  # bytes in each direction: a few round trips' worth
+RECEIVE = 1 << 16  # bytes in a socket's own buffer, read whole at once: a fast sender may not fill the memory
 HEAD_MOST = 1 << 14  # bytes of an answer's head
 ANSWER_MOST = 240_000  # bytes: no part of an object is longer
 INTERIM_MOST = 8  # answers of 1xx ahead of the one that counts: more are no answer
@@ -36,6 +37,9 @@
         self.stream, self.address, self.idle_since = stream, address, now
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
         self.incoming, self.outgoing = Ring(RING), Ring(RING)
+        raw = self.raw()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+        raw.detach()
 
     async def send(self, data: bytes) -> None:
         for at in range(0, len(data), RING):
--- a/quartzrouter/net/fastcgi.py
+++ b/quartzrouter/net/fastcgi.py
@@ -9,7 +9,8 @@
 RESPONDER = 1
 KEEP_CONN = 1
 HEAD = 8
-RECORD_MOST = HEAD + 0xFFFF + 0xFF  # what one record can take up
+STREAMS = (PARAMS, STDIN, STDOUT, STDERR, DATA)  # taken in pieces, as they come
+SHORT_MOST = 4_096  # bytes in a record of any other kind
 PIECE = 8_184  # bytes of content in a record of ours; answers on one connection take turns at these
 
 
@@ -23,20 +24,34 @@
     content: bytes
 
 
-def next_record(ring: Ring) -> Record | None:
-    """The next whole record, or None until there is one."""
-    if len(ring) < HEAD:
-        return None
-    version, kind, id_high, id_low, high, low, padding, _ = ring.peek(HEAD)
-    if version != 1:
-        raise Broken(f"version {version}")
-    length = high << 8 | low
-    if len(ring) < HEAD + length + padding:
-        return None
-    ring.drop(HEAD)
-    content = ring.take(length)
-    ring.drop(padding)
-    return Record(kind, id_high << 8 | id_low, content)
+class Records:
+    """Reads records out of a ring, which may be shorter than one of a stream: that comes in several."""
+
+    def __init__(self, ring: Ring):
+        self.ring, self.kind, self.id, self.left, self.padding = ring, 0, 0, 0, 0
+
+    def next(self) -> Record | None:
+        """The next record, or what has come of one, or None until there is more."""
+        ring = self.ring
+        if not self.left:
+            passed = min(self.padding, len(ring))
+            ring.drop(passed)
+            self.padding -= passed
+            if self.padding or len(ring) < HEAD:
+                return None
+            version, self.kind, id_high, id_low, high, low, self.padding, _ = ring.take(HEAD)
+            if version != 1:
+                raise Broken(f"version {version}")
+            self.id, self.left = id_high << 8 | id_low, high << 8 | low
+            if self.kind not in STREAMS and self.left > SHORT_MOST:
+                raise Broken(f"a record of type {self.kind} with {self.left} bytes")
+            if not self.left:
+                return Record(self.kind, self.id, b"")
+        if not len(ring) or (self.kind not in STREAMS and len(ring) < self.left):
+            return None
+        content = ring.take(self.left)
+        self.left -= len(content)
+        return Record(self.kind, self.id, content)
 
 
 def record(kind: int, id: int, content: bytes) -> bytes:
--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -13,13 +13,19 @@
 from quartzrouter.net.report import Report
 from quartzrouter.net.ring import Ring
 
-OUTGOING = 1 << 15  # bytes that wait for a client's socket, beside one piece for each of its reqs
+INCOMING = 1 << 14  # bytes: longer records are taken in pieces
+OUTGOING = 1 << 14  # bytes on their way to a client's socket
 OPEN_MOST = 32  # reqs on one connection
 PARAMS_MOST = 1 << 14  # bytes
 BODY_MOST = 48_000  # bytes
 TIMEOUT_MOST = 3_600_000  # ms; a longer one is no figure
 RECORDS_MOST = 256  # that wait on one connection: then nothing more is read from it until some have gone out
 STUCK_AFTER = 10.0  # s in which a client takes no byte of what is owed: then it counts as gone
+WHOLE_WITHIN = 2.0  # s from a connection's start to its first whole req, and for each req: no front waits
+IDLE_MOST = 6.0  # s without a byte or an open req: fronts close after 4 s themselves
+LINGER, LINGER_MOST = 0.5, 1 << 18  # s and bytes read and dropped before a close: the last answers arrive
+FAULTS_MOST = 32  # reqs on one connection that can't be used; then it is closed
+SWEEP_EVERY = 0.25  # s between looks for connections whose time is over
 TOKEN = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
 KEY = re.compile(r"[0-9a-f]{32}", re.ASCII | re.IGNORECASE)
 NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
@@ -28,35 +34,49 @@
 class Intake:
     """A req of which records are still coming."""
 
-    def __init__(self, keep: bool):
-        self.keep, self.named = keep, False
+    def __init__(self, keep: bool, since: float):
+        self.keep, self.since = keep, since
         self.params, self.body = bytearray(), bytearray()
-        self.status = 0  # of the final answer, once it can't be used
+        self.call: Call | None = None  # once the parameters are there
+        self.length: int | None = None  # of the body, where it is told
+        self.whole = False
 
     @property
     def size(self) -> int:
         return len(self.params) + len(self.body)
 
-    def add(self, kind: int, data: bytes, room: int) -> bool:
-        """Takes content in, while there is room for it; whether the req is whole."""
-        most, into = (PARAMS_MOST, self.params) if kind == fastcgi.PARAMS else (BODY_MOST, self.body)
-        if not data:
-            self.named |= kind == fastcgi.PARAMS
-            return kind == fastcgi.STDIN
+    def add(self, kind: int, data: bytes, room: int) -> None:
+        into, most = (self.params, PARAMS_MOST) if kind == fastcgi.PARAMS else (self.body, BODY_MOST)
         if len(into) + len(data) > most:
-            self.status = 413
-        elif len(data) > room:
-            self.status = 503
-        elif not self.status:
-            into += data
-        return False
+            raise Unusable("too long", 413)
+        if len(data) > room:
+            raise NoRoom
+        into += data
+
+
+class NoRoom(Exception):
+    """Clients' reqs hold as many bytes as they may."""
 
 
 class Unusable(ValueError):
     """A req that gets its final answer at once."""
 
+    def __init__(self, why: str, status: int = 400):
+        super().__init__(why)
+        self.status = status
+
+
+def length(params: dict[str, str]) -> int | None:
+    """Of the body, where the req tells it."""
+    told = params.get("CONTENT_LENGTH", "")
+    if told and not NUMBER.fullmatch(told):
+        raise Unusable(f"CONTENT_LENGTH is {told!r:.40}")
+    if told and int(told) > BODY_MOST:
+        raise Unusable(f"CONTENT_LENGTH is {told}", 413)
+    return int(told) if told else None
 
-def call(params: dict[str, str], body: bytes, uniqued: Callable[[str], bool | None]) -> Call:
+
+def call(params: dict[str, str], uniqued: Callable[[str], bool | None]) -> Call:
     """The req that a client sent; uniqued tells of a vhost whether it is, and None where there is none."""
 
     def field(name: str, form: re.Pattern[str]) -> str:
@@ -66,13 +86,12 @@
         return value
 
     def maybe(name: str, form: re.Pattern[str]) -> str | None:
-        with contextlib.suppress(Unusable):  # the req can do without
-            return field(name, form)
+        return field(name, form) if params.get("HTTP_" + name.upper().replace("-", "_")) else None
 
     path, _, vhost = params.get("SCRIPT_NAME", "").rpartition("/")
     keyed = uniqued(vhost) if path == "/rpc" else None
     if keyed is None:
-        raise LookupError
+        raise Unusable("no such vhost", 404)
     timeout, group = int(field("X-Deadline-Ms", NUMBER)), int(field("X-Tag", NUMBER))
     if not 0 < timeout <= TIMEOUT_MOST:
         raise Unusable(f"X-Deadline-Ms is {timeout}")
@@ -87,7 +106,6 @@
         timeout=timeout * 1000,
         key=field("X-Operation-Key", KEY) if keyed else maybe("X-Operation-Key", KEY),
         held=maybe("X-Known", TOKEN),
-        body=body,
     )
 
 
@@ -96,8 +114,10 @@
 
     def __init__(self, front: "Front", stream: anyio.abc.ByteStream):
         self.front, self.stream = front, stream
-        self.incoming, self.outgoing = Ring(fastcgi.RECORD_MOST), Ring(OUTGOING)
+        self.incoming, self.outgoing = Ring(INCOMING), Ring(OUTGOING)
+        self.records = fastcgi.Records(self.incoming)
         self.intakes: dict[int, Intake] = {}
+        self.faults, self.used = 0, False  # reqs that could not be used; whether one could
         self.tickets: dict[int, int] = {}  # record id: ticket, for reqs that are owed an answer
         self.owed: dict[int, tuple[int, bool, int]] = {}  # ticket: record id, keep the connection, bytes held
         self.turns: deque[int] = deque()  # tickets with records that wait
@@ -106,19 +126,28 @@
         self.more, self.eased = anyio.Event(), anyio.Event()
         self.closing = False
         self.scope = anyio.CancelScope()
-        self.heard = self.sending = anyio.current_time()  # last bytes in; since when the same bytes go out
+        # its start; when bytes last came; since when the same bytes go out
+        self.since = self.heard = self.sending = anyio.current_time()
 
     # -- reading -----------------------------------------------------------------------------------
 
     async def read(self) -> None:
-        while not self.closing:
+        passed = 0
+        while passed < LINGER_MOST:
             while sum(map(len, self.waiting.values())) > RECORDS_MOST:
                 self.eased = anyio.Event()
                 await self.eased.wait()
-            self.incoming.put(await self.stream.receive(self.incoming.free))
+            data = await self.stream.receive(INCOMING if self.closing else self.incoming.free)
+            if self.closing:
+                passed += len(data)
+                continue
+            self.incoming.put(data)
             self.heard = anyio.current_time()
-            while (record := fastcgi.next_record(self.incoming)) is not None:
+            while (record := self.records.next()) is not None:
                 self._take(record)
+            for id in [id for id, intake in self.intakes.items() if intake.whole]:
+                self._come(id, self.intakes.pop(id))  # what was taken back at once has never come
+        await anyio.sleep_forever()  # until what is owed is answered
 
     def _take(self, record: fastcgi.Record) -> None:
         kind, id, content = record
@@ -136,14 +165,8 @@
         elif kind == fastcgi.ABORT:
             self._abort(id)
         elif kind in (fastcgi.PARAMS, fastcgi.STDIN):
-            if (intake := self.intakes.get(id)) is None:
-                return
-            before = intake.size
-            whole = intake.add(kind, content, self.front.room)
-            self.front.room -= intake.size - before
-            if whole:
-                del self.intakes[id]
-                self._whole(id, intake)
+            if (intake := self.intakes.get(id)) and not intake.whole:
+                self._more(id, intake, kind, content)
         elif kind != fastcgi.DATA:
             raise fastcgi.Broken(f"a record of type {kind} for req {id}")
 
@@ -153,11 +176,11 @@
         if id in self.intakes or id in self.tickets:
             raise fastcgi.Broken(f"record id {id} is taken")
         if content[0] << 8 | content[1] != fastcgi.RESPONDER:
-            self.write(0, [fastcgi.end(id, protocol=fastcgi.UNKNOWN_ROLE)])
+            self._fault([fastcgi.end(id, protocol=fastcgi.UNKNOWN_ROLE)])
         elif len(self.intakes) + len(self.tickets) >= OPEN_MOST:
-            self.write(0, [fastcgi.end(id, protocol=fastcgi.OVERLOADED)])
+            self._fault([fastcgi.end(id, protocol=fastcgi.OVERLOADED)])
         else:
-            self.intakes[id] = Intake(bool(content[2] & fastcgi.KEEP_CONN))
+            self.intakes[id] = Intake(bool(content[2] & fastcgi.KEEP_CONN), self.heard)
 
     def _abort(self, id: int) -> None:
         if (intake := self.intakes.pop(id, None)) is not None:
@@ -167,26 +190,58 @@
             self.front.feed(Left(ticket))
             self.reply(ticket, b"", whole=False)
 
-    def _whole(self, id: int, intake: Intake) -> None:
-        ticket = self.front.ticket(self)
-        self.tickets[id], self.owed[ticket] = ticket, (id, intake.keep, intake.size)
+    def _more(self, id: int, intake: Intake, kind: int, content: bytes) -> None:
+        """Takes in what has come of a req; what can't be used is answered now, whatever still comes of it."""
+        before = intake.size
         try:
-            if intake.status == 503:
-                self.front.report.say("client", "no room for the bytes of a req")
-                self.reply(ticket, answer.denied(0))
-                return
-            if intake.status or not intake.named:
-                raise Unusable("too long" if intake.status else "parameters without an end")
-            params = fastcgi.pairs(bytes(intake.params))
-            if params.get("SCRIPT_NAME") == "/health":
-                self.front.feed(Asked(ticket))
+            if content:
+                intake.add(kind, content, self.front.room)
+            elif kind == fastcgi.PARAMS:
+                params = fastcgi.pairs(bytes(intake.params))
+                intake.length, well = length(params), params.get("SCRIPT_NAME") == "/health"
+                intake.call = None if well else call(params, self.front.uniqued)
+                intake.whole = well
+                intake.params.clear()
+            elif intake.call is None:
+                raise Unusable("parameters without an end")
+            elif intake.length not in (None, len(intake.body)):
+                raise Unusable(f"{len(intake.body)} bytes where CONTENT_LENGTH is {intake.length}")
             else:
-                self.front.feed(Came(ticket, call(params, bytes(intake.body), self.front.uniqued)))
-        except LookupError:
-            self.reply(ticket, answer.refused(404, "no such vhost"))
+                intake.whole = True
         except (Unusable, fastcgi.Broken) as error:
-            self.front.report.say("client", f"a req that can't be used: {error}")
-            self.reply(ticket, answer.refused(intake.status or 400, str(error)))
+            self.refuse(id, error)
+        except NoRoom:
+            self.front.report.say("client", "no room for the bytes of a req")
+            self._end(id, answer.denied(0))
+        else:
+            self.front.room -= intake.size - before
+
+    def _come(self, id: int, intake: Intake) -> None:
+        """A whole req, which its client has not taken back."""
+        ticket = self.front.ticket(self)
+        self.tickets[id], self.owed[ticket], self.used = ticket, (id, intake.keep, intake.size), True
+        if intake.call is None:
+            self.front.feed(Asked(ticket))
+        else:
+            self.front.feed(Came(ticket, intake.call._replace(body=bytes(intake.body))))
+
+    def refuse(self, id: int, error: Exception) -> None:
+        """The answer to a req that can't be used; after many, or a long one, its connection is closed."""
+        self.front.report.say("client", f"a req that can't be used: {error}")
+        status = getattr(error, "status", 400)
+        self._end(id, answer.refused(status, str(error)))
+        self.closing |= status in (408, 413)  # more of it may come
+
+    def _end(self, id: int, data: bytes) -> None:
+        intake = self.intakes.pop(id)
+        self.front.room += intake.size
+        self.closing |= not intake.keep
+        self._fault([*fastcgi.stdout(id, data), fastcgi.record(fastcgi.STDOUT, id, b""), fastcgi.end(id)])
+
+    def _fault(self, records: list[bytes]) -> None:
+        self.faults += 1
+        self.closing |= self.faults >= FAULTS_MOST
+        self.write(0, records)
 
     # -- writing -----------------------------------------------------------------------------------
 
@@ -313,26 +368,36 @@
             tasks.cancel_scope.cancel()
 
     def _make_room(self) -> bool:
-        """Gives up the connection that has been silent for longest of those that are owed nothing."""
+        """Of those that are owed nothing, gives up one that brought nothing yet, else the longest silent."""
         idle = [seat for seat in self.open if not (seat.owed or seat.unsent)]
         if not idle:
             return False
-        seat = min(idle, key=lambda seat: seat.heard)
+        seat = min(idle, key=lambda seat: (seat.used, seat.heard))
         self.open.discard(seat)
         seat.scope.cancel()
         return True
 
     async def sweep(self) -> None:
-        """Gives up clients that take nothing of what they are owed."""
+        """Gives up clients that bring nothing whole, ask nothing more, or take nothing of their answers."""
         while True:
-            await anyio.sleep(STUCK_AFTER / 10)
-            before = anyio.current_time() - STUCK_AFTER
-            for seat in self.open:
-                if len(seat.outgoing) and seat.sending < before:
+            await anyio.sleep(SWEEP_EVERY)
+            now = anyio.current_time()
+            for seat in list(self.open):
+                for id in [id for id, intake in seat.intakes.items() if now - intake.since > WHOLE_WITHIN]:
+                    seat.refuse(id, Unusable("still not whole", 408))
+                idle = not (seat.owed or seat.unsent or seat.intakes)
+                if len(seat.outgoing) and now - seat.sending > STUCK_AFTER:
                     self.report.say("client", "a client that takes nothing is given up")
                     seat.scope.cancel()
+                elif idle and now - seat.heard > IDLE_MOST:
+                    seat.scope.cancel()
+                elif idle and not seat.used and now - seat.since > WHOLE_WITHIN:
+                    self.report.say("client", "a connection that brings no req is closed")
+                    seat.scope.cancel()
 
     async def _flush(self, seat: Seat, tasks: anyio.abc.TaskGroup) -> None:
         with contextlib.suppress(*LOST):
             await seat.flush()
+            await seat.stream.send_eof()
+            await anyio.sleep(LINGER)
         tasks.cancel_scope.cancel()
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -188,6 +188,7 @@
     def __init__(self, briefing: Briefing):
         super().__init__(Router(**briefing.arguments))
         self.hands: dict[int, InHand] = {}
+        self.ids: set[str] = set()  # of the reqs that are owed an answer
         self.timers: list[tuple[int, int, tuple]] = []  # when due, a number that keeps the order, for what
         self.numbers = 0
         self.states: dict[str, State] = {}
@@ -280,7 +281,11 @@
     # -- events --------------------------------------------------------------------------------------
 
     def _came(self, ticket: int, call: Call, now: int) -> None:
+        if call.id.lower() in self.ids:
+            self.effects.append(Reply(ticket, answer.refused(409, "X-Correlation-Id is in use")))
+            return
         self.hands[ticket] = InHand(call)
+        self.ids.add(call.id.lower())
         if self.closed:
             self._reply(ticket, answer.denied(0))
             return
@@ -293,8 +298,9 @@
         )
 
     def _left(self, ticket: int, now: int) -> None:
-        if hand := self.hands.get(ticket):
+        if (hand := self.hands.get(ticket)) and not hand.gone:
             hand.gone = True
+            self.ids.discard(hand.call.id.lower())
             self.left(ticket, now)
             if not hand.going:
                 self.hands.pop(ticket, None)
@@ -406,6 +412,7 @@
         hand = self.hands[ticket]
         if not hand.gone:
             self.effects.append(Reply(ticket, data))
+            self.ids.discard(hand.call.id.lower())
         hand.gone = True
         if not hand.going:
             del self.hands[ticket]
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -3,6 +3,7 @@
 import gc
 import logging
 import signal
+import socket
 import sys
 import time
 import traceback
@@ -26,6 +27,7 @@
 RESERVE = 24  # descriptors for the listener, the journal service, the loop, the log and Python itself
 REQS_SHARE = 8  # of the memory told, one part in so many may hold clients' reqs, parameters and bodies
 HELD_SHARE = 8  # and one in so many answers that are not yet with their clients
+RECEIVE = 1 << 15  # bytes in a socket's own buffer, read whole at once: a fast sender may not fill the memory
 BACKLOG = 1024  # connections that wait to be accepted
 FLUSH_EVERY = 0.005  # s between looks whether the last answers have gone out
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
@@ -201,6 +203,9 @@
             listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=BACKLOG)
         except OSError as error:
             raise Unusable(f"listen: {host}:{port} can't be bound: {error.strerror or error}") from None
+        for listener in listeners.listeners:  # what is accepted takes it on
+            raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
         gc.collect()
         gc.freeze()
         async with anyio.create_task_group() as self.tasks:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -34,14 +34,16 @@
         + fastcgi.record(fastcgi.STDIN, 300, b"")
     )
     for step in (1, 7, len(data)):
-        ring = Ring(fastcgi.RECORD_MOST)
+        ring, params, pieces = Ring(1000), b"", 0
+        records = fastcgi.Records(ring)
         for at in range(0, len(data), step):
             ring.put(data[at : at + step])
-            while record := fastcgi.next_record(ring):
-                content = fastcgi.pairs(record.content) if record.kind == fastcgi.PARAMS else record.content
-                trace.append(
-                    f"step {step}: kind {record.kind} id {record.id} {content}".replace(long, "x * 200")
-                )
+            while record := records.next():
+                if record.kind == fastcgi.PARAMS:
+                    params, pieces = params + record.content, pieces + 1
+                else:
+                    trace.append(f"step {step}: kind {record.kind} id {record.id} {record.content}")
+        trace.append(f"step {step}: {pieces} pieces, {fastcgi.pairs(params)}".replace(long, "x * 200"))
 
 
 @pytest.mark.parametrize("data", [b"\x05a", b"\x01\x01a", b"\x81\x00\x00", b"\xff\xff\xff\xff\x01ab"])
@@ -76,9 +78,9 @@
     ):  # fmt: skip
         params = {name: value for name, value in (whole | change).items() if value is not None}
         try:
-            said = front.call(params, b"", {"page": False, "hold": True}.get)
-        except (front.Unusable, LookupError) as error:
-            said = f"{type(error).__name__} {error}"
+            said = front.call(params, {"page": False, "hold": True}.get)
+        except front.Unusable as error:
+            said = f"{error.status} {error}"
         trace.append(f"{change}: {said}")
 
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,5 +1,6 @@
 """The whole router over loopback, against stand-ins for a cache and the journal service; bounded in time."""
 
+import contextlib
 import json
 import os
 import re
@@ -27,9 +28,10 @@
     """Speaks FastCGI, and shows what comes back."""
 
     def __init__(self, stream):
-        self.stream, self.ring, self.said = stream, Ring(fastcgi.RECORD_MOST), {}
+        self.stream, self.ring, self.said = stream, Ring(1 << 16), {}
+        self.records = fastcgi.Records(self.ring)
 
-    async def begin(self, id, path="/rpc/page", body=b"", role=1, **other):
+    async def begin(self, id, path="/rpc/page", body=b"", role=1, whole=True, **other):
         fields = {
             "SCRIPT_NAME": path, "HTTP_X_CORRELATION_ID": f"{id:016x}", "HTTP_X_DEADLINE_MS": "1000",
             "HTTP_X_SUBJECT": f"{id:016x}", "HTTP_X_CHUNK": "0", "HTTP_X_TAG": "5",
@@ -41,7 +43,7 @@
             (fastcgi.PARAMS, b""),
         ]
         pieces += [(fastcgi.STDIN, body[at : at + 60_000]) for at in range(0, len(body), 60_000)]
-        await self.send(*pieces, (fastcgi.STDIN, b""), id=id)
+        await self.send(*pieces, *([(fastcgi.STDIN, b"")] if whole else []), id=id)
 
     async def send(self, *pieces, id=1):
         await self.stream.send(b"".join(fastcgi.record(kind, id, data) for kind, data in pieces))
@@ -50,7 +52,7 @@
         """The next answer: its record id, what it says, how it ended; or that the connection is closed."""
         said = self.said
         while True:
-            while record := fastcgi.next_record(self.ring):
+            while record := self.records.next():
                 if record.kind == fastcgi.STDOUT:
                     said[record.id] = said.get(record.id, b"") + record.content
                 elif record.kind == fastcgi.END:
@@ -175,7 +177,7 @@
         trace.append(await client.end())
         await client.begin(10, body=bytes(60_000))
         trace.append(await client.end())
-        await client.begin(11, HTTP_X_TAG="none")
+        await (client := await connect()).begin(11, HTTP_X_TAG="none")
         trace.append(await client.end())
 
     world.play(scene)
@@ -237,6 +239,79 @@
     assert "Traceback" not in capsys.readouterr().err
 
 
+def test_clients_that_bring_nothing_usable_are_answered_or_closed_soon(world, trace):
+    async def stream(client, kind):
+        with contextlib.suppress(anyio.BrokenResourceError):
+            for _ in range(2_000):
+                await client.send((kind, bytes(30_000)))
+
+    async def silence(client):
+        pass
+
+    async def half(client):
+        await client.begin(1, body=b"abc", whole=False)
+
+    async def body_without_end(client):
+        await client.begin(1, whole=False)
+        await stream(client, fastcgi.STDIN)
+
+    async def params_without_end(client):
+        await client.send(begin())
+        await stream(client, fastcgi.PARAMS)
+
+    async def announced(client, length="60000000"):
+        await client.begin(1, whole=False, CONTENT_LENGTH=length)
+
+    async def negative(client):
+        await announced(client, "-3")
+
+    async def short(client):
+        await client.begin(1, body=b"abc", CONTENT_LENGTH="4")
+
+    async def open_twice(client):
+        await client.begin(1, HTTP_X_SUBJECT=f"{9:016x}")
+        await client.begin(2, HTTP_X_CORRELATION_ID=f"{1:016x}")
+
+    async def taken_back(client):
+        for id in range(1, 33):
+            await client.begin(id, whole=False)
+        await client.stream.send(
+            b"".join(fastcgi.record(k, n, b"") for n in range(1, 33) for k in (fastcgi.STDIN, fastcgi.ABORT))
+        )
+
+    async def again(client):
+        with contextlib.suppress(anyio.BrokenResourceError):
+            for _ in range(100):
+                await client.begin(1, path="/rpc/other")
+
+    ways = silence, half, body_without_end, params_without_end, announced, negative, short, open_twice, \
+        taken_back, again  # fmt: skip
+    world.answers = {9: [0.2, WHOLE]}
+
+    async def scene(connect):
+        said = {}
+
+        async def play(way):
+            began, client = time.monotonic(), await connect()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(way, client)
+                said[way] = await client.end()
+                spent = "at once" if time.monotonic() - began < 1 else "soon"
+                said[way] += f" {spent}" if time.monotonic() - began < 2.9 else " late"
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            for way in ways:
+                tasks.start_soon(play, way)
+        trace.extend(f"{way.__name__}: {said[way]}" for way in ways)
+        asked = [line for line in world.asked if "GET" in line and f"{9:016x}" not in line]
+        trace.append(
+            f"{len(world.service.front.open)} clients, {len(asked)} dispatches for what was taken back"
+        )
+
+    world.play(scene)
+
+
 def test_aborts_before_and_during_an_answer(world, trace):
     world.answers = {1: [1.0, WHOLE], 2: [WHOLE[:-2], 1.0, b"de"]}
 
@@ -365,7 +440,7 @@
     async def scene(connect):
         client, room = await connect(), world.service.front.room
         for id in range(1, 5):
-            await client.send(begin(), (fastcgi.PARAMS, b""), (fastcgi.STDIN, bytes(40_000)), id=id)
+            await client.begin(id, body=bytes(40_000), whole=False)
         for id in (4, 1):
             await client.send((fastcgi.STDIN, b""), id=id)
             trace.append(await client.end())
