Connections with half a req are not given up for room, and a req that never ends costs no others

A connection that had brought a part of its next req counted as idle when room was made (Front._make_room), and one with a stalled req was closed after its 408, dropping whatever else came on it: both can cost a req that was written whole.

--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -23,7 +23,7 @@
 STUCK_AFTER = 10.0  # s in which a client takes no byte of what is owed: then it counts as gone
 WHOLE_WITHIN = 2.0  # s from a connection's start to its first whole req, and for each req: no front waits
 IDLE_MOST = 6.0  # s without a byte or an open req: fronts close after 4 s themselves
-LINGER, LINGER_MOST = 0.5, 1 << 18  # s and bytes read and dropped before a close: the last answers arrive
+LINGER, LINGER_MOST = 0.5, 1 << 18  # s and bytes, read and dropped so that the last answers arrive
 FAULTS_MOST = 32  # reqs on one connection that can't be used; then it is closed
 SWEEP_EVERY = 0.25  # s between looks for connections whose time is over
 TOKEN = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
@@ -118,6 +118,7 @@
         self.records = fastcgi.Records(self.incoming)
         self.intakes: dict[int, Intake] = {}
         self.faults, self.used = 0, False  # reqs that could not be used; whether one could
+        self.passed = 0  # bytes of those that came after their answer
         self.tickets: dict[int, int] = {}  # record id: ticket, for reqs that are owed an answer
         self.owed: dict[int, tuple[int, bool, int]] = {}  # ticket: record id, keep the connection, bytes held
         self.turns: deque[int] = deque()  # tickets with records that wait
@@ -132,14 +133,13 @@
     # -- reading -----------------------------------------------------------------------------------
 
     async def read(self) -> None:
-        passed = 0
-        while passed < LINGER_MOST:
+        while self.passed < 2 * LINGER_MOST:
             while sum(map(len, self.waiting.values())) > RECORDS_MOST:
                 self.eased = anyio.Event()
                 await self.eased.wait()
             data = await self.stream.receive(INCOMING if self.closing else self.incoming.free)
             if self.closing:
-                passed += len(data)
+                self.passed += len(data)
                 continue
             self.incoming.put(data)
             self.heard = anyio.current_time()
@@ -167,6 +167,9 @@
         elif kind in (fastcgi.PARAMS, fastcgi.STDIN):
             if (intake := self.intakes.get(id)) and not intake.whole:
                 self._more(id, intake, kind, content)
+            else:
+                self.passed += len(content)
+                self.closing |= self.passed > LINGER_MOST
         elif kind != fastcgi.DATA:
             raise fastcgi.Broken(f"a record of type {kind} for req {id}")
 
@@ -228,9 +231,7 @@
     def refuse(self, id: int, error: Exception) -> None:
         """The answer to a req that can't be used; after many, or a long one, its connection is closed."""
         self.front.report.say("client", f"a req that can't be used: {error}")
-        status = getattr(error, "status", 400)
-        self._end(id, answer.refused(status, str(error)))
-        self.closing |= status in (408, 413)  # more of it may come
+        self._end(id, answer.refused(getattr(error, "status", 400), str(error)))
 
     def _end(self, id: int, data: bytes) -> None:
         intake = self.intakes.pop(id)
@@ -249,6 +250,11 @@
     def unsent(self) -> bool:
         return bool(self.waiting or len(self.outgoing))
 
+    @property
+    def idle(self) -> bool:
+        """Owed nothing, and bringing nothing."""
+        return not (self.owed or self.intakes or self.unsent)
+
     def reply(self, ticket: int, data: bytes, whole: bool = True) -> None:
         """The one answer to a req, unless it has had it."""
         if ticket not in self.owed:
@@ -369,7 +375,7 @@
 
     def _make_room(self) -> bool:
         """Of those that are owed nothing, gives up one that brought nothing yet, else the longest silent."""
-        idle = [seat for seat in self.open if not (seat.owed or seat.unsent)]
+        idle = [seat for seat in self.open if seat.idle]
         if not idle:
             return False
         seat = min(idle, key=lambda seat: (seat.used, seat.heard))
@@ -385,13 +391,12 @@
             for seat in list(self.open):
                 for id in [id for id, intake in seat.intakes.items() if now - intake.since > WHOLE_WITHIN]:
                     seat.refuse(id, Unusable("still not whole", 408))
-                idle = not (seat.owed or seat.unsent or seat.intakes)
                 if len(seat.outgoing) and now - seat.sending > STUCK_AFTER:
                     self.report.say("client", "a client that takes nothing is given up")
                     seat.scope.cancel()
-                elif idle and now - seat.heard > IDLE_MOST:
+                elif seat.idle and now - seat.heard > IDLE_MOST:
                     seat.scope.cancel()
-                elif idle and not seat.used and now - seat.since > WHOLE_WITHIN:
+                elif seat.idle and not seat.used and now - seat.since > WHOLE_WITHIN:
                     self.report.say("client", "a connection that brings no req is closed")
                     seat.scope.cancel()
 
