--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -45,6 +45,7 @@
 FILL_GROWTH = 0.25  # of a limit, by each timely fill, at most
 FILLS_LATE = 2.0  # late or failed fills that make trouble: fewer are chance
 FILLS_OVER = 2.0  # and their share over that of late answers without a fill: else it isn't the fills
+FILLS_SHARE = 0.1  # of all fills: a few late ones of very many are large objects
 LOOKS = 2  # caches asked for what they hold before a fill, while in trouble: further copies are fewer
 FILL_FADE = 1 * S  # such a fill counts half after this time, so that trouble ends soon after its cause
 FILL_CUT, FILL_CUT_EVERY = 0.85, 100 * MS  # the limit falls by so much at most so often: a round trip's time
@@ -283,7 +284,7 @@
         """Not where answers come late without a fill as well: then it isn't the fills."""
         late, fills, others_late, others = self.seen
         enough = late * 0.5 ** ((now - self.since) / FILL_FADE) >= FILLS_LATE
-        return enough and late * (others + 1) > FILLS_OVER * others_late * fills
+        return enough and late > fills * max(FILLS_SHARE, FILLS_OVER * others_late / (others + 1))
 
     def room(self, source: int, draw: float) -> bool:  # a part below one is luck, the same at each asking
         return self.out[source] + draw < self.limit[source] / self.routers
