--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -169,7 +169,9 @@
                 self._more(id, intake, kind, content)
             else:
                 self.passed += len(content)
-                self.closing |= self.passed > LINGER_MOST
+                if self.passed > LINGER_MOST and not self.closing:
+                    self.closing = True
+                    self.more.set()
         elif kind != fastcgi.DATA:
             raise fastcgi.Broken(f"a record of type {kind} for req {id}")
 
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -28,7 +28,6 @@
 REQS_SHARE = 8  # of the memory told, one part in so many may hold clients' reqs, parameters and bodies
 HELD_SHARE = 8  # and one in so many answers that are not yet with their clients
 RECEIVE = 1 << 15  # bytes in a socket's own buffer, read whole at once: a fast sender may not fill the memory
-GC_AFTER = 20_000, 10, 10  # objects more than freed: a req makes few rings of references, each look costs all
 BACKLOG = 1024  # connections that wait to be accepted
 FLUSH_EVERY = 0.005  # s between looks whether the last answers have gone out
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
@@ -212,7 +211,6 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
         gc.collect()
         gc.freeze()
-        gc.set_threshold(*GC_AFTER)
         async with anyio.create_task_group() as self.tasks:
             self.tasks.start_soon(self._signals)
             self.tasks.start_soon(self._timers)
