--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -225,7 +225,7 @@
     for n in range(80):
         drive.req(n, "clip", f"o{n}", quiet=True)
         drive.pass_(5)
-        late = n in (10, 30, 50) or n > 75
+        late = n in (40, 60, 70) or n > 75
         drive.end(n, Ending.DONE, Told.FILLED, elapsed=1_500 if late else 50, quiet=True)
         if n in (75, 79):
             drive.print(f"{drive.router.fills.seen[0]:.1f} late of {drive.router.fills.seen[1]:.1f} fills")
