The reducer keeps addresses of what is listed only, and no second table of the same names

Read over: Reducer.states held every id ever listed, and nothing but its names was used, which addresses has too; both grew with each replaced cache, and each whole list told all of them gone again. docs/architecture.md already said that ids end. states is gone, addresses ends with the id, /health asks whether there has been a line of the list, as before.

--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -191,8 +191,8 @@
         self.ids: set[str] = set()  # of the reqs that are owed an answer
         self.timers: list[tuple[int, int, tuple]] = []  # when due, a number that keeps the order, for what
         self.numbers = 0
-        self.states: dict[str, State] = {}
-        self.addresses: dict[str, tuple[str, int]] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}  # of what is listed
+        self.listed = False  # once there has been a line of the list
         self.probing: set[str] = set()
         self.stopping = self.closed = False  # after SIGTERM; once nothing more is taken
         self.effects: list[Effect] = []
@@ -225,7 +225,7 @@
                 if ending is not Ending.UNSENT:  # for want of room here, which says nothing of the cache
                     self.router.probed(name, ending, {}, now)
             case Asked(ticket):
-                self.effects.append(Reply(ticket, answer.health(bool(self.states) and not self.stopping)))
+                self.effects.append(Reply(ticket, answer.health(self.listed and not self.stopping)))
             case Reload(address):
                 self.effects.append(Follow(address))
             case Stop():
@@ -359,11 +359,14 @@
             self.addresses[name] = where
         told = {line.name: line.state for line in event.lines}
         if event.whole:
-            told |= {name: State.GONE for name in self.states if name not in told}
-        self.states |= told
+            told |= {name: State.GONE for name in self.addresses if name not in told}
+        self.listed |= bool(told)
         self.router.heard(event.lines, event.whole, now)
         down = {name for name, state in told.items() if state is not State.UP}
         self.effects += [Forget(name) for name in sorted(down)]
+        for name, state in told.items():
+            if state is State.GONE:
+                self.addresses.pop(name, None)
         for hand in self.hands.values():
             if hand.going and not down.isdisjoint((hand.going.answer.be, hand.going.answer.source)):
                 hand.going.stale = True
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,5 +1,6 @@
 """The reducer without sockets: events in, effects out, as tests/traces/ has them."""
 
+from conftest import listed
 from quartzrouter.interface import Ending
 from quartzrouter.net import journal, reducer
 from quartzrouter.net.progress import Cause, Stage
@@ -120,6 +121,17 @@
     empty(play)
 
 
+def test_addresses_of_what_has_gone_end(play):
+    for n in range(100):
+        for state in ("up", "gone"):
+            lines = journal.Lines(listed({f"c{n + 10}": state}), {f"c{n + 10}": ("127.0.0.9", n)}, False)
+            play.do("", lines, quiet=True)
+    play.lines[1:] = [f"kept: {', '.join(play.reducer.addresses)}"]
+    play.list(whole=True, c1="up", o="up")
+    play.lines.append(f"kept: {', '.join(play.reducer.addresses)}")
+    play.list(whole=True, c1="up", o="up")
+
+
 def test_a_reload_asks_for_the_journal_at_its_new_address(play):
     play.do("reload", reducer.Reload(("127.0.0.9", 4222)))
     play.do("stop", reducer.Stop())
