One place writes the records of a whole answer; a docstring and an annotation agree with the code

Read over: Seat.reply and Seat._end put together STDOUT, its end and END_REQUEST each for itself; fastcgi.reply does now. A req that is too long no longer closes its connection at once, which refuse() still said; Walk.pick's loads are by index in a dict.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -136,7 +136,7 @@
                 del self.orders[next(iter(self.orders))]
         return self.orders[obj, parents]
 
-    def pick(self, obj: str, order: list[int], load: list[int], busy, now: int) -> int:
+    def pick(self, obj: str, order: list[int], load: dict[int, int], busy, now: int) -> int:
         slot = zlib.crc32(obj.encode()) % len(self.table)
         length, changed = self.table[slot]
         best, steps = min(order[:length], key=load.__getitem__), length  # ties go to the higher hash
--- a/quartzrouter/net/fastcgi.py
+++ b/quartzrouter/net/fastcgi.py
@@ -64,6 +64,11 @@
     return [record(STDOUT, id, data[at : at + PIECE]) for at in range(0, len(data), PIECE)]
 
 
+def reply(id: int, data: bytes) -> list[bytes]:
+    """All records of a whole answer."""
+    return [*stdout(id, data), record(STDOUT, id, b""), end(id)]
+
+
 def end(id: int, whole: bool = True, protocol: int = COMPLETE) -> bytes:
     return record(END, id, bytes((0, 0, 0, 0 if whole else 1, protocol, 0, 0, 0)))
 
@@ -81,8 +86,7 @@
             wide = 4 if at < len(data) and data[at] & 0x80 else 1
             if at + wide > len(data):
                 raise Broken("a pair is cut off")
-            long = wide == 4
-            lengths.append(int.from_bytes(data[at : at + 4], "big") & 0x7FFFFFFF if long else data[at])
+            lengths.append(data[at] if wide == 1 else int.from_bytes(data[at : at + 4], "big") & 0x7FFFFFFF)
             at += wide
         name, value = at + lengths[0], at + lengths[0] + lengths[1]
         if value > len(data):
--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -231,7 +231,7 @@
             self.front.feed(Came(ticket, intake.call._replace(body=bytes(intake.body))))
 
     def refuse(self, id: int, error: Exception) -> None:
-        """The answer to a req that can't be used; after many, or a long one, its connection is closed."""
+        """The answer to a req that can't be used; after many its connection is closed."""
         self.front.report.say("client", f"a req that can't be used: {error}")
         self._end(id, answer.refused(getattr(error, "status", 400), str(error)))
 
@@ -239,7 +239,7 @@
         intake = self.intakes.pop(id)
         self.front.room += intake.size
         self.closing |= not intake.keep
-        self._fault([*fastcgi.stdout(id, data), fastcgi.record(fastcgi.STDOUT, id, b""), fastcgi.end(id)])
+        self._fault(fastcgi.reply(id, data))
 
     def _fault(self, records: list[bytes]) -> None:
         self.faults += 1
@@ -267,8 +267,7 @@
         self.front.seats.pop(ticket, None)
         self.front.room += size
         self.closing |= not keep
-        ends = ([fastcgi.record(fastcgi.STDOUT, id, b"")] if whole else []) + [fastcgi.end(id, whole)]
-        self.write(ticket, fastcgi.stdout(id, data) + ends)
+        self.write(ticket, fastcgi.reply(id, data) if whole else [fastcgi.end(id, whole=False)])
 
     def write(self, ticket: int, records: list[bytes]) -> None:
         if ticket not in self.waiting:
