No connection is given up with an unread req on it, however late a busy router reads

Change: an idle connection is given up only if the kernel's count of bytes received equals what was read, by shutdown at once; those that their client has closed go first, then those silent for 250 ms; at the end of the process what has come is read first.

--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -1,9 +1,13 @@
 """The clients' connections: records in, reqs out; answers in turns, so that a long one holds nobody up."""
 
 import contextlib
+import os
 import re
+import socket
+import sys
 from collections import deque
 from collections.abc import Callable
+from enum import IntEnum
 
 import anyio
 
@@ -26,8 +30,11 @@
 LINGER, LINGER_MOST = 0.5, 1 << 18  # s and bytes, read and dropped so that the last answers arrive
 FAULTS_MOST = 32  # reqs on one connection that can't be used; then it is closed
 SWEEP_EVERY = 0.25  # s between looks for connections whose time is over
+YOUNG = 0.25  # s in which a new connection's first req may still be on its way; then it is given up first
 TOKEN = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
 KEY = re.compile(r"[0-9a-f]{32}", re.ASCII | re.IGNORECASE)
+RECEIVED = slice(128, 136)  # of struct tcp_info: tcpi_bytes_received; the first byte is the state
+CLOSE_WAIT = 8  # the state in which the client has closed
 NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
 
 
@@ -54,6 +61,14 @@
         into += data
 
 
+class Line(IntEnum):
+    """What a connection holds beyond what was read of it, in the order in which it is given up."""
+
+    ENDED = 0  # by the client
+    QUIET = 1
+    UNREAD = 2
+
+
 class NoRoom(Exception):
     """Clients' reqs hold as many bytes as they may."""
 
@@ -117,6 +132,7 @@
         self.incoming, self.outgoing = Ring(INCOMING), Ring(OUTGOING)
         self.records = fastcgi.Records(self.incoming)
         self.intakes: dict[int, Intake] = {}
+        self.got = 0  # bytes taken in; the kernel's count tells whether there are more
         self.faults, self.used = 0, False  # reqs that could not be used; whether one could
         self.passed = 0  # bytes of those that came after their answer
         self.tickets: dict[int, int] = {}  # record id: ticket, for reqs that are owed an answer
@@ -138,6 +154,7 @@
                 self.eased = anyio.Event()
                 await self.eased.wait()
             data = await self.stream.receive(INCOMING if self.closing else self.incoming.free)
+            self.got += len(data)
             if self.closing:
                 self.passed += len(data)
                 continue
@@ -257,6 +274,29 @@
         """Owed nothing, and bringing nothing."""
         return not (self.owed or self.intakes or self.unsent)
 
+    @property
+    def line(self) -> Line:
+        """What the kernel has of it, to the last byte: what this process has read late counts as well."""
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        try:
+            told = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED.stop)
+        except OSError:
+            return Line.ENDED
+        unread = int.from_bytes(told[RECEIVED], sys.byteorder) - self.got
+        ended = told[0] == CLOSE_WAIT  # its end counts as a byte
+        return Line.UNREAD if unread > ended else Line.ENDED if ended else Line.QUIET
+
+    def retire(self) -> bool:
+        """Ends an idle connection at once, unless there is something on it that wasn't read yet."""
+        if not self.idle or self.line is Line.UNREAD:
+            return False
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        with contextlib.suppress(OSError), socket.socket(fileno=os.dup(raw.fileno())) as own:
+            own.shutdown(socket.SHUT_RDWR)  # until the loop closes it, it would take a req
+        self.scope.cancel()
+        self.front.open.discard(self)
+        return True
+
     def reply(self, ticket: int, data: bytes, whole: bool = True) -> None:
         """The one answer to a req, unless it has had it."""
         if ticket not in self.owed:
@@ -339,6 +379,11 @@
     def flushed(self) -> bool:
         return not any(seat.unsent for seat in self.open)
 
+    @property
+    def all_read(self) -> bool:
+        """Nothing has come that this process hasn't read."""
+        return not any(seat.line is Line.UNREAD for seat in self.open)
+
     def ticket(self, seat: Seat) -> int:
         self.tickets += 1
         self.seats[self.tickets] = seat
@@ -379,14 +424,14 @@
             tasks.cancel_scope.cancel()
 
     def _make_room(self) -> bool:
-        """Of those that are owed nothing, gives up one that brought nothing yet, else the longest silent."""
-        idle = [seat for seat in self.open if seat.idle]
-        if not idle:
-            return False
-        seat = min(idle, key=lambda seat: (seat.used, seat.heard))
-        self.open.discard(seat)
-        seat.scope.cancel()
-        return True
+        """Of those that are owed nothing, gives up one that its client has closed, else one that was silent
+        from the start, else the longest silent; none on which something waits to be read."""
+        young = anyio.current_time() - YOUNG
+
+        def order(seat: Seat) -> tuple[bool, bool, float]:
+            return seat.line is not Line.ENDED, seat.used or seat.since > young, seat.heard
+
+        return any(seat.retire() for seat in sorted((seat for seat in self.open if seat.idle), key=order))
 
     async def sweep(self) -> None:
         """Gives up clients that bring nothing whole, ask nothing more, or take nothing of their answers."""
@@ -399,11 +444,10 @@
                 if len(seat.outgoing) and now - seat.sending > STUCK_AFTER:
                     self.report.say("client", "a client that takes nothing is given up")
                     seat.scope.cancel()
-                elif seat.idle and now - seat.heard > IDLE_MOST:
-                    seat.scope.cancel()
-                elif seat.idle and not seat.used and now - seat.since > WHOLE_WITHIN:
+                elif seat.used and now - seat.heard > IDLE_MOST:
+                    seat.retire()
+                elif not seat.used and now - seat.since > WHOLE_WITHIN and seat.retire():
                     self.report.say("client", "a connection that brings no req is closed")
-                    seat.scope.cancel()
 
     async def _flush(self, seat: Seat, tasks: anyio.abc.TaskGroup) -> None:
         with contextlib.suppress(*LOST):
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -30,6 +30,7 @@
 RECEIVE = 1 << 15  # bytes in a socket's own buffer, read whole at once: a fast sender may not fill the memory
 BACKLOG = 1024  # connections that wait to be accepted
 FLUSH_EVERY = 0.005  # s between looks whether the last answers have gone out
+READ_WITHIN = 500_000  # us at the end in which what clients have sent is read, should some never stop sending
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
 
 
@@ -171,7 +172,8 @@
             self.tasks.start_soon(self.front.serve, stream)
 
     async def _exit(self) -> None:
-        while not self.front.flushed:
+        until = self._time() + READ_WITHIN
+        while not self.front.flushed or (not self.front.all_read and self._time() < until):
             await anyio.sleep(FLUSH_EVERY)
         self.tasks.cancel_scope.cancel()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -219,3 +219,10 @@
 @pytest.fixture
 def play(trace):
     return Play(trace)
+
+
+@pytest.fixture
+def world(tmp_path):
+    from standins import World  # which takes the setup above
+
+    return World(tmp_path)
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,131 @@
+"""Connections that are given up: no req is on them, however late a busy router reads."""
+
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+
+from standins import World, free_port
+from quartzrouter.net import front, serve
+
+CROSSES = 0.05  # s: a front sends a req again that was written so shortly before a close
+# the router, with a task that keeps it from everything else for 20 to 200 ms at a time
+STALLED = """
+import os, random, sys, time, anyio
+from quartzrouter.net import serve
+chance = random.Random(11)
+class Service(serve.Service):
+    async def _timers(self):
+        self.tasks.start_soon(self.stall)
+        await super()._timers()
+    async def stall(self):
+        while True:
+            await anyio.sleep(chance.uniform(0.005, 0.06))
+            time.sleep(chance.uniform(0.02, 0.2))
+serve.Service = Service
+sys.exit(serve.main(os.environ))
+"""
+
+
+class Crowd:
+    """Clients that open a connection for nearly every req and close the longest idle of their own."""
+
+    def __init__(self, world, port, most):
+        self.world, self.port, self.most = world, port, most
+        self.idle, self.open, self.ids = [], 0, 0
+        self.ends = dict.fromkeys(("answered", "crossed", "first", "lost"), 0)
+
+    async def req(self, chance):
+        self.ids += 1
+        id = self.ids
+        used = bool(self.idle) and chance.random() < 0.3
+        if used:
+            client = self.idle.pop(chance.randrange(len(self.idle)))
+        else:
+            if self.open >= self.most and self.idle:
+                await self.end(self.idle.pop(0))
+            self.open += 1
+            client = await self.world.connect(self.port)
+        try:
+            await client.begin(id, HTTP_X_DEADLINE_MS="3000")
+            written = time.monotonic()
+            said = await client.end()
+        except anyio.BrokenResourceError:  # closed before a byte of it was taken
+            written, said = time.monotonic(), "closed"
+        if said != "closed":
+            self.ends["answered"] += 1
+            self.idle.append(client)
+            return
+        late = time.monotonic() - written > CROSSES
+        self.ends["crossed" if not late else "lost" if used else "first"] += 1
+        await self.end(client)
+
+    async def end(self, client):
+        self.open -= 1
+        await client.stream.aclose()
+
+
+def test_no_req_is_lost_where_every_req_comes_on_a_connection_of_its_own(tmp_path):
+    world, chance, left = World(tmp_path), random.Random(5), 3_000
+    world.frames = []
+
+    async def run():
+        with anyio.fail_after(60):
+            async with anyio.create_task_group() as tasks:
+                cache, port = await world.listen(tasks, world.cache), await free_port()
+                world.tell(cache, await world.listen(tasks, world.journal), limits={"sockets": 96})
+                environ = os.environ | {"NODE_CONFIG": str(world.path), "NODE_LISTEN": f"127.0.0.1:{port}"}
+                router = subprocess.Popen([sys.executable, "-c", STALLED], env=environ)
+                crowd = Crowd(world, port, 40)
+
+                async def ask():
+                    nonlocal left
+                    while left:
+                        left -= 1
+                        await crowd.req(chance)
+                        await anyio.sleep(chance.uniform(0, 0.05))
+
+                await (await world.connect(port)).stream.aclose()
+                async with anyio.create_task_group() as askers:
+                    for _ in range(28):
+                        askers.start_soon(ask)
+                router.send_signal(signal.SIGTERM)
+                await anyio.to_thread.run_sync(router.wait)
+                tasks.cancel_scope.cancel()
+        return crowd.ends
+
+    ends = anyio.run(run, backend_options=serve.LOOP)
+    print(ends)
+    assert sum(ends.values()) == 3_000 and ends["answered"] > 2_700
+    assert ends["lost"] == 0
+
+
+def test_what_a_busy_router_has_not_read_keeps_its_connection(world, trace, monkeypatch):
+    """A req reaches the kernel after the router last read, long before it looks for room."""
+    make_room, behind = front.Front._make_room, []
+
+    def late(self):
+        for client, id in behind:
+            raw = client.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            os.write(raw.fileno(), client.req(id))
+        time.sleep(2 * CROSSES)
+        return make_room(self)
+
+    async def scene(connect):
+        idle = [await connect() for _ in range(21)]
+        for id, client in enumerate(idle, 1):
+            await client.begin(id)
+            await client.end()
+        behind.extend((client, 100 + n) for n, client in enumerate(idle[:12]))
+        monkeypatch.setattr(front.Front, "_make_room", late)
+        new = await connect()
+        await new.begin(50)
+        trace.append(f"new: {await new.end()}")
+        for client in idle[:13]:
+            trace.append(await client.end())
+
+    world.play(scene, limits={"sockets": 64})
