All that waits is accepted at a wake and read before the end; a closed socket faults nobody

Change: up to 8 connections are accepted a wake, each admitted before it takes a task; the end waits up to 1.5 s for the backlog, unread bytes and reqs in hand; closed sockets count as ended; six looks in place of one at every idle one.

--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -30,6 +30,7 @@
 LINGER, LINGER_MOST = 0.5, 1 << 18  # s and bytes, read and dropped so that the last answers arrive
 FAULTS_MOST = 32  # reqs on one connection that can't be used; then it is closed
 SWEEP_EVERY = 0.25  # s between looks for connections whose time is over
+LOOKS = 6  # idle connections among which one that its client has closed is looked for: 4 us each
 YOUNG = 0.25  # s in which a new connection's first req may still be on its way; then it is given up first
 TOKEN = re.compile(r"[0-9a-f]{16}", re.ASCII | re.IGNORECASE)
 KEY = re.compile(r"[0-9a-f]{32}", re.ASCII | re.IGNORECASE)
@@ -274,14 +275,20 @@
         """Owed nothing, and bringing nothing."""
         return not (self.owed or self.intakes or self.unsent)
 
+    @property
+    def _raw(self):
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if raw is None or raw.fileno() < 0:
+            raise OSError("closed")
+        return raw
+
     @property
     def line(self) -> Line:
         """What the kernel has of it, to the last byte: what this process has read late counts as well."""
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
         try:
-            told = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED.stop)
-        except OSError:
-            return Line.ENDED
+            told = self._raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED.stop)
+        except (OSError, anyio.TypedAttributeLookupError):
+            return Line.ENDED  # closed here already
         unread = int.from_bytes(told[RECEIVED], sys.byteorder) - self.got
         ended = told[0] == CLOSE_WAIT  # its end counts as a byte
         return Line.UNREAD if unread > ended else Line.ENDED if ended else Line.QUIET
@@ -290,8 +297,10 @@
         """Ends an idle connection at once, unless there is something on it that wasn't read yet."""
         if not self.idle or self.line is Line.UNREAD:
             return False
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        with contextlib.suppress(OSError), socket.socket(fileno=os.dup(raw.fileno())) as own:
+        with (
+            contextlib.suppress(OSError, anyio.TypedAttributeLookupError),
+            socket.socket(fileno=os.dup(self._raw.fileno())) as own,
+        ):
             own.shutdown(socket.SHUT_RDWR)  # until the loop closes it, it would take a req
         self.scope.cancel()
         self.front.open.discard(self)
@@ -374,6 +383,7 @@
         self.tickets = 0
         self.seats: dict[int, Seat] = {}  # by ticket
         self.open: set[Seat] = set()
+        self.coming = 0  # admitted, not yet served
 
     @property
     def flushed(self) -> bool:
@@ -389,12 +399,17 @@
         self.seats[self.tickets] = seat
         return self.tickets
 
-    async def serve(self, stream: anyio.abc.ByteStream) -> None:
-        """One connection, from its accept to its end."""
-        if len(self.open) >= self.most and not self._make_room():
+    def admit(self) -> bool:
+        """Whether one more connection may be served; an idle one makes room for it."""
+        if len(self.open) + self.coming >= self.most and not self._make_room():
             self.report.say("client", "no room for a further connection")
-            await self._close(stream)
-            return
+            return False
+        self.coming += 1
+        return True
+
+    async def serve(self, stream: anyio.abc.ByteStream) -> None:
+        """One connection that was admitted, to its end."""
+        self.coming -= 1
         seat = Seat(self, stream)
         self.open.add(seat)
         try:
@@ -427,11 +442,17 @@
         """Of those that are owed nothing, gives up one that its client has closed, else one that was silent
         from the start, else the longest silent; none on which something waits to be read."""
         young = anyio.current_time() - YOUNG
-
-        def order(seat: Seat) -> tuple[bool, bool, float]:
-            return seat.line is not Line.ENDED, seat.used or seat.since > young, seat.heard
-
-        return any(seat.retire() for seat in sorted((seat for seat in self.open if seat.idle), key=order))
+        idle = [seat for seat in self.open if seat.idle]
+        idle.sort(key=lambda seat: (seat.used or seat.since > young, seat.heard))
+        quiet = None
+        for looks, seat in enumerate(idle):
+            if looks >= LOOKS and quiet:
+                break
+            line = seat.line
+            if line is Line.ENDED:
+                return seat.retire()
+            quiet = quiet or (seat if line is Line.QUIET else None)
+        return quiet is not None and quiet.retire()
 
     async def sweep(self) -> None:
         """Gives up clients that bring nothing whole, ask nothing more, or take nothing of their answers."""
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -30,7 +30,9 @@
 RECEIVE = 1 << 15  # bytes in a socket's own buffer, read whole at once: a fast sender may not fill the memory
 BACKLOG = 1024  # connections that wait to be accepted
 FLUSH_EVERY = 0.005  # s between looks whether the last answers have gone out
-READ_WITHIN = 500_000  # us at the end in which what clients have sent is read, should some never stop sending
+READ_WITHIN = 1_500_000  # us at the end in which what clients have sent is read, should some never stop
+ACCEPT_AT_ONCE = 8  # connections a wake: those that make room hold their descriptors until the next
+UNACKED = slice(24, 28)  # of struct tcp_info: tcpi_unacked
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
 
 
@@ -70,6 +72,7 @@
         self.events: deque[Event] = deque()
         self.feeding, self.now = False, 0
         self.changed = anyio.Event()  # the reducer's next timer
+        self.listening: list[socket.socket] = []
         self.tasks: anyio.abc.TaskGroup
 
     def feed(self, event: Event) -> None:
@@ -161,19 +164,46 @@
                 self.feed(Tick())
                 await anyio.lowlevel.checkpoint()
 
-    async def _accept(self, listener) -> None:
+    async def _accept(self, listener: socket.socket) -> None:
+        """Takes all that wait at each wake: one a turn of the loop would fall behind in a busy process."""
         while True:
-            try:
-                stream = await listener.accept()
-            except OSError as error:
-                self.report.say("client", f"accept failed: {error}")
-                await anyio.sleep(ACCEPT_PAUSE)
-                continue
-            self.tasks.start_soon(self.front.serve, stream)
+            await anyio.wait_readable(listener)
+            for _ in range(ACCEPT_AT_ONCE):
+                try:
+                    accepted, _ = listener.accept()
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    self.report.say("client", f"accept failed: {error}")
+                    await anyio.sleep(ACCEPT_PAUSE)
+                    break
+                if self.front.admit():
+                    self.tasks.start_soon(self._serve, accepted)
+                else:
+                    accepted.close()
+
+    async def _serve(self, accepted: socket.socket) -> None:
+        try:
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = await anyio.abc.SocketStream.from_socket(accepted)
+        except Exception as error:  # it has ended already, say
+            self.front.coming -= 1
+            self.report.say("client", f"connection ended: {type(error).__name__}: {error}")
+            accepted.close()
+            return
+        await self.front.serve(stream)
+
+    @property
+    def _waiting(self) -> bool:
+        """Whether connections wait to be accepted; the kernel tells it of a listener as what is unacked."""
+        told = [each.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, UNACKED.stop) for each in self.listening]
+        return any(any(info[UNACKED]) for info in told)
 
     async def _exit(self) -> None:
         until = self._time() + READ_WITHIN
-        while not self.front.flushed or (not self.front.all_read and self._time() < until):
+        while self._time() < until and (self._waiting or not self.front.all_read or self.reducer.hands):
+            await anyio.sleep(FLUSH_EVERY)
+        while not self.front.flushed:
             await anyio.sleep(FLUSH_EVERY)
         self.tasks.cancel_scope.cancel()
 
@@ -208,8 +238,8 @@
             listeners = await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=BACKLOG)
         except OSError as error:
             raise Unusable(f"listen: {host}:{port} can't be bound: {error.strerror or error}") from None
-        for listener in listeners.listeners:  # what is accepted takes it on
-            raw = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+        self.listening = [each.extra(anyio.abc.SocketAttribute.raw_socket) for each in listeners.listeners]
+        for raw in self.listening:  # what is accepted takes it on
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
         gc.collect()
         gc.freeze()
@@ -219,8 +249,8 @@
             self.tasks.start_soon(self.backend.sweep)
             self.tasks.start_soon(self.front.sweep)
             self.tasks.start_soon(self.journal.follow)
-            for listener in listeners.listeners:
-                self.tasks.start_soon(self._accept, listener)
+            for raw in self.listening:
+                self.tasks.start_soon(self._accept, raw)
         self.report.say("process", "stopped")
 
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -324,6 +324,7 @@
 
     async def run():
         flood, room = Stuck(), front.Front(None, 9, 9, None, None)
+        assert room.admit()
         with anyio.move_on_after(0.2):
             await room.serve(flood)
         trace.append(f"{flood.taken} reads, {len(room.open)} open")
