--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -276,18 +276,19 @@
         return not (self.owed or self.intakes or self.unsent)
 
     @property
-    def _raw(self):
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        if raw is None or raw.fileno() < 0:
-            raise OSError("closed")
-        return raw
+    def _raw(self) -> socket.socket:
+        """Its socket; raises OSError once the connection is closed here."""
+        try:
+            return self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        except Exception as error:  # of a closed one the library asks what isn't there
+            raise OSError("closed") from error
 
     @property
     def line(self) -> Line:
         """What the kernel has of it, to the last byte: what this process has read late counts as well."""
         try:
             told = self._raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, RECEIVED.stop)
-        except (OSError, anyio.TypedAttributeLookupError):
+        except OSError:
             return Line.ENDED  # closed here already
         unread = int.from_bytes(told[RECEIVED], sys.byteorder) - self.got
         ended = told[0] == CLOSE_WAIT  # its end counts as a byte
@@ -297,10 +298,7 @@
         """Ends an idle connection at once, unless there is something on it that wasn't read yet."""
         if not self.idle or self.line is Line.UNREAD:
             return False
-        with (
-            contextlib.suppress(OSError, anyio.TypedAttributeLookupError),
-            socket.socket(fileno=os.dup(self._raw.fileno())) as own,
-        ):
+        with contextlib.suppress(OSError), socket.socket(fileno=os.dup(self._raw.fileno())) as own:
             own.shutdown(socket.SHUT_RDWR)  # until the loop closes it, it would take a req
         self.scope.cancel()
         self.front.open.discard(self)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -129,3 +129,19 @@
             trace.append(await client.end())
 
     world.play(scene, limits={"sockets": 64})
+
+
+def test_a_connection_that_is_closed_here_faults_nobody(world):
+    async def scene(connect):
+        kept, _ = await connect(), await connect()
+        await kept.begin(1)
+        await kept.end()
+        closed, *_ = [seat for seat in world.service.front.open if not seat.used]
+        closed.stream._transport.abort()  # as the loop does on an error of its own
+        await anyio.sleep(0)
+        assert closed.line is front.Line.ENDED and closed.retire()
+        await anyio.sleep(2 * front.SWEEP_EVERY)
+        await kept.begin(2)
+        assert "200 OK" in await kept.end()
+
+    world.play(scene)
