Plans: a language for routes, pools and limits, checked, formatted, compared and in force

Change: quartzrouter/plan (grammar for lark, evaluation that always ends, a typed vocabulary, exact sets of reqs for shadowing and diff, matcher, formatter), quartzrouter/force (limits, fallbacks, a Router a pool), quartzrouter/site (the process under a plan), quartzrouter/cli on click. Req.dispatches and Roster.homes are all that the decisions gain.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 
 build: .venv/stamp
 
-.venv/stamp: requirements.txt requirements-dev.txt
+.venv/stamp: requirements.txt requirements-tools.txt requirements-dev.txt pyproject.toml
 	python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements-dev.txt
+	.venv/bin/pip -q install --no-deps -e .
 	touch $@
 
 test: build
--- a/quartzrouter/briefing.py
+++ b/quartzrouter/briefing.py
@@ -163,23 +163,16 @@
 
     FIXED = ("listen", "limits", "settings")  # what a reload can't change
 
-    def __init__(self, environ: Mapping[str, str]):
-        path = environ.get("NODE_CONFIG")
-        if not path:
-            raise Unusable("NODE_CONFIG is missing")
-        try:
-            with open(path, "rb") as file:
-                told = Section(orjson.loads(file.read()))
-        except OSError as error:
-            raise Unusable(f"NODE_CONFIG: {path}: {error.strerror}") from None
-        except orjson.JSONDecodeError as error:
-            raise Unusable(f"NODE_CONFIG: {path} is not JSON: {error}") from None
+    def __init__(self, told: Any, environ: Mapping[str, str], journal_needed: bool = True):
+        told = Section(told)
         self.name = environ.get("NODE_NAME") or told.may("name", "?", str)
         listen = environ.get("NODE_LISTEN")
         self.listen = (
             address(listen, "NODE_LISTEN") if listen else address(told.need("listen", str), "listen")
         )
-        self.journal = address(told.need("journal", str), "journal")
+        self.journal = None
+        if journal_needed or told.told.get("journal"):
+            self.journal = address(told.need("journal", str), "journal")
         self.fixed = {key: told.told.get(key) for key in self.FIXED}
         seed = told.need("seed", str)
         try:
@@ -195,3 +188,17 @@
         self.briefing = Briefing(told.need("settings", dict), self.seed)
         if not self.briefing.vhosts:
             raise Unusable("settings.categories is empty")
+
+
+def read(environ: Mapping[str, str]) -> Any:
+    """What the file says that NODE_CONFIG names."""
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise Unusable("NODE_CONFIG is missing")
+    try:
+        with open(path, "rb") as file:
+            return orjson.loads(file.read())
+    except OSError as error:
+        raise Unusable(f"NODE_CONFIG: {path}: {error.strerror}") from None
+    except orjson.JSONDecodeError as error:
+        raise Unusable(f"NODE_CONFIG: {path} is not JSON: {error}") from None
--- /dev/null
+++ b/quartzrouter/cli/__main__.py
@@ -0,0 +1,3 @@
+from quartzrouter.cli.main import main
+
+main()
--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -87,7 +87,7 @@
     """The cache list by small indices, and who may be sent to; who has gone is forgotten in time."""
 
     def __init__(self, home: str):
-        self.home, self.count = home, 0
+        self.homes, self.count = (home,), 0  # locations whose caches are used
         self.index: dict[str, int] = {}
         self.be: dict[int, Listed] = {}
         self.started: dict[int, int] = {}  # the last known start, listed or seen
@@ -111,7 +111,7 @@
                 fresh.append(at)
         for tier in Tier:
             these = [at for at, be in self.be.items() if be.tier is tier and be.state != State.GONE]
-            near = [at for at in these if tier is not Tier.CACHE or self.be[at].location == self.home]
+            near = [at for at in these if tier is not Tier.CACHE or self.be[at].location in self.homes]
             self.peers[tier] = [at for at in near if tier is Tier.PARENT or self.up(at)]
         return fresh
 
@@ -337,7 +337,8 @@
 
     def may_send(self, flight: Flight, now: int) -> bool:
         taken = flight.over or flight.streaming or flight.out
-        if taken or flight.hops >= self.most or now >= flight.deadline or len(flight.errors) >= ERRORS_OWN:
+        most = min(flight.req.dispatches or self.most, self.most)
+        if taken or flight.hops >= most or now >= flight.deadline or len(flight.errors) >= ERRORS_OWN:
             return False
         if not self.bound(flight):
             return True
--- /dev/null
+++ b/quartzrouter/force/force.py
@@ -0,0 +1,268 @@
+"""A plan in force, standing where one Router stands: a Router a pool, each req handed to its pool's.
+
+A new plan takes over at once: routers of pools whose name stays go on with what they have learnt, those of
+pools that are gone live until their last req has ended, and every req ends under the plan it came with.
+"""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any
+
+from quartzrouter.control import Histogram, Purges, Router
+from quartzrouter.force.limits import Denied, Limits
+from quartzrouter.force.pools import Pools
+from quartzrouter.force.ruling import Ruling, keys, rule, vhost_name
+from quartzrouter.interface import (
+    Answer,
+    ColdStart,
+    Deny,
+    Dispatch,
+    Ending,
+    Listed,
+    Outcome,
+    Req,
+    State,
+    Tier,
+    VHost,
+    Wait,
+)
+from quartzrouter.plan.matcher import Matcher
+from quartzrouter.plan.model import Plan, Pool, belongs
+from quartzrouter.plan.sets import Asked
+
+MS = 1_000
+LOOK_EVERY = 50 * MS  # us between counts of a pool's caches: a cache that fails is out within 50 ms anyway
+BUDGET_MOST = 10.0  # further dispatches that a policy may save up
+NEVER = 1 << 62  # us
+
+
+class Seat:
+    """A pool's Router, and when it wants to be asked again."""
+
+    def __init__(self, pool: Pool, router: Router):
+        self.pool, self.router = pool, router
+        self.due = 0
+        self.up: tuple[int, int] = (0, 0)
+        self.counted = -NEVER
+
+    def takes(self, line: Listed) -> bool:
+        told = {"tier": "cache", "at": line.location, "kind": line.kind, "cell": line.cell}
+        return line.tier is not Tier.CACHE or belongs(self.pool, line.name, told)
+
+    def hear(self, lines: list[Listed], whole: bool, now: int) -> None:
+        self.router.heard([line for line in lines if self.takes(line)], whole, now)
+        self.due, self.counted = 0, -NEVER
+
+    def count(self, now: int) -> tuple[int, int]:
+        if not 0 <= now - self.counted < LOOK_EVERY:
+            roster, health = self.router.roster, self.router.health
+            listed = [
+                at for at, be in roster.be.items() if be.tier is Tier.CACHE and be.state is not State.GONE
+            ]
+            up = [at for at in listed if roster.up(at) and health.of[at].out <= now]
+            self.up, self.counted = (len(up), len(listed)), now
+        return self.up
+
+
+class Force:
+    """Speaks like a Router to the host of the decisions.
+
+    :param arguments: those of a Router, for the deployment as a whole.
+    """
+
+    def __init__(self, plan: Plan, arguments: Mapping[str, Any]):
+        self.arguments = dict(arguments)
+        self.plan, self.matcher = plan, Matcher(plan.routes)
+        self.limits = Limits(plan.limits)
+        self.pools = Pools(plan.pools, plan.splits)
+        self.purges = Purges(arguments["purge_life"])  # for routers that come later
+        self.lines: dict[str, Listed] = {}
+        self.seats: dict[str, Seat] = {}
+        self.leaving: list[Seat] = []  # of pools that are gone
+        self.where: dict[int, Seat] = {}  # by req
+        self.rulings: dict[int, Ruling] = {}
+        self.budgets: dict[str, float] = {}  # by policy: further dispatches saved up
+        self.touched: set[Seat] = set()
+        self.vhosts = self._vhosts()
+        self._seat(0)
+
+    # -- the plan --------------------------------------------------------------------------------------
+
+    def replace(self, plan: Plan, now: int) -> None:
+        """The new plan, from this moment on."""
+        self.plan, self.matcher = plan, Matcher(plan.routes)
+        self.limits.replace(plan.limits)
+        self.pools.replace(plan.pools, plan.splits)
+        self.budgets = {name: kept for name, kept in self.budgets.items() if name in plan.policies}
+        self.vhosts = self._vhosts()
+        self._seat(now)
+
+    def _vhosts(self) -> dict[str, VHost]:
+        """Each vhost, and each as the policies of its routes change it."""
+        found = dict(self.plan.vhosts)
+        for route in self.plan.routes:
+            if route.policy:
+                policy, base = self.plan.policies[route.policy], self.plan.vhosts[route.vhost]
+                told = {
+                    key: getattr(policy, key)
+                    for key in ("fresh_for", "grace_for", "old_share", "first_byte_target", "value")
+                }
+                changes = {key: value for key, value in told.items() if value is not None}
+                found[vhost_name(route)] = replace(base, name=vhost_name(route), **changes)
+        return found
+
+    def _seat(self, now: int) -> None:
+        """A Router for each pool: the one of that name, or a new one that knows the list and the purges."""
+        before, self.seats = self.seats, {}
+        self.leaving += [seat for name, seat in before.items() if name not in self.plan.pools]
+        for name, pool in self.plan.pools.items():
+            seat = before.get(name) or Seat(pool, self._router(pool, len(self.plan.pools)))
+            seat.pool, seat.router.roster.homes = pool, self._homes(pool)
+            seat.router.vhosts.update(self.vhosts)
+            for vhost in self.vhosts:
+                seat.router.sending.setdefault(vhost, Histogram(4 * MS))
+            if self.lines:
+                seat.hear(list(self.lines.values()), True, now)
+            self.seats[name] = seat
+        self.touched.update(self.seats.values())
+
+    def _router(self, pool: Pool, pools: int) -> Router:
+        """Cold servers' budgets are shared by all routers, and by all pools of each."""
+        told = dict(self.arguments)
+        everyone = told["cold_parent"].routers
+        foreign = pool.stores != (told["home"],)
+        for key in ("cold_cache", "cold_parent"):
+            cold: ColdStart = told[key]
+            reach = everyone if foreign else cold.routers
+            told[key] = replace(cold, routers=reach * pools)
+        told["vhosts"] = list(self.vhosts.values())
+        router = Router(**told)
+        router.purges.at = dict(self.purges.at)
+        return router
+
+    def _homes(self, pool: Pool) -> tuple[str, ...]:
+        """Where a pool's caches stand; one that names caches only has them wherever they are."""
+        return pool.stores or tuple({self.plan.caches[name]["at"] for name in pool.caches})
+
+    # -- one req -----------------------------------------------------------------------------------------
+
+    def rule(self, asked: Asked, client: str) -> Ruling | None:
+        return rule(self.plan, self.matcher, asked, client)
+
+    def admit(self, req_id: int, ruling: Ruling, now: int) -> Denied | None:
+        """Finds the pool, and takes the req into its limits; what is denied is denied at once."""
+        if ruling.policy.deny:
+            return Denied("", self.come_back(ruling, 0))
+        wanted = self.pools.of(ruling.route.pool, ruling.obj, ruling.client)
+        pool = self.pools.serving(wanted, lambda name: self.seats[name].count(now), now)
+        value = self.vhosts[vhost_name(ruling.route)].value
+        denied = self.limits.admit(req_id, keys(self.plan, ruling, pool), value, now)
+        if denied:
+            return Denied(denied.limit, self.come_back(ruling, denied.come_back))
+        self.rulings[req_id], self.where[req_id] = ruling, self.seats[pool]
+        return None
+
+    def release(self, req_id: int) -> None:
+        """The req has had its final answer."""
+        self.limits.release(req_id)
+
+    def come_back(self, ruling: Ruling, time: int) -> int:
+        """The time that a denial names: the policy's or the limit's, within what may be named."""
+        return min(ruling.policy.come_back or time, self.arguments["permits"].longest_wait)
+
+    def dispatches(self, ruling: Ruling) -> int:
+        """How many the req may have; one only where its policy's budget is used up."""
+        policy = ruling.policy
+        if policy.budget is None or not ruling.route.policy:
+            return policy.dispatches or 0
+        saved = self.budgets.get(ruling.route.policy, BUDGET_MOST)
+        self.budgets[ruling.route.policy] = min(BUDGET_MOST, saved + policy.budget)
+        return (policy.dispatches or 0) if saved >= 1 else 1
+
+    def _told(self, req_id: int, answer: Answer | None, further: bool) -> Answer | None:
+        ruling = self.rulings[req_id]
+        policy = ruling.policy
+        if isinstance(answer, Dispatch):
+            if further and policy.budget is not None and ruling.route.policy:
+                saved = self.budgets.get(ruling.route.policy, BUDGET_MOST)
+                self.budgets[ruling.route.policy] = max(0.0, saved - 1)
+            if policy.rank is not None and answer.rank > policy.rank:
+                return replace(answer, rank=policy.rank)
+        elif isinstance(answer, Deny):
+            return replace(answer, come_back=self.come_back(ruling, answer.come_back))
+        return answer
+
+    def _done(self, req_id: int) -> None:
+        """Forgets a req that its Router has ended."""
+        seat = self.where[req_id]
+        self.touched.add(seat)
+        if req_id not in seat.router.flights:
+            del self.where[req_id], self.rulings[req_id]
+            if seat in self.leaving and not seat.router.flights:
+                self.leaving.remove(seat)
+
+    # -- as a Router ---------------------------------------------------------------------------------------
+
+    def route(self, req: Req, now: int) -> Answer | None:
+        answer = self._told(req.id, self.where[req.id].router.route(req, now), False)
+        self._done(req.id)
+        return answer
+
+    def after(self, req_id: int, outcome: Outcome, now: int) -> Answer | None:
+        seat = self.where.get(req_id)
+        if seat is None:
+            return None
+        answer = self._told(req_id, seat.router.after(req_id, outcome, now), True)
+        self._done(req_id)
+        return answer
+
+    def left(self, req_id: int) -> int | None:
+        seat = self.where.get(req_id)
+        if seat is None:
+            return None
+        hop = seat.router.left(req_id)
+        self._done(req_id)
+        return hop
+
+    def begun(self, req_id: int) -> None:
+        if seat := self.where.get(req_id):
+            seat.router.begun(req_id)
+
+    def heard(self, lines: list[Listed], whole: bool, now: int) -> None:
+        named = {line.name: line for line in lines}
+        self.lines = named if whole else self.lines | named
+        self.lines = {name: line for name, line in self.lines.items() if line.state is not State.GONE}
+        for seat in self._all():
+            seat.hear(lines, whole, now)
+        self.touched.update(self._all())
+
+    def purged(self, group: int | None, obj: str | None, age: int, now: int) -> None:
+        self.purges.add(group, obj, now - age, now)
+        for seat in self._all():
+            seat.router.purged(group, obj, age, now)
+
+    def probed(self, name: str, ending: Ending, report: dict[str, float], now: int) -> None:
+        for seat in self._all():
+            seat.router.probed(name, ending, report, now)
+        self.touched.update(self._all())
+
+    def list_failed(self, now: int) -> None:
+        for seat in self._all():
+            seat.router.list_failed(now)
+
+    def wait(self, now: int) -> Wait:
+        """Asks those routers that something happened to, or whose time has come."""
+        probes: dict[str, None] = {}
+        timeout, subscribe, due = 0, False, NEVER
+        for seat in self._all():
+            if seat in self.touched or seat.due <= now:
+                told = seat.router.wait(now)
+                seat.due = now + told.time
+                probes |= dict.fromkeys(told.probes)
+                timeout, subscribe = told.probe_timeout, subscribe or told.subscribe
+            due = min(due, seat.due)
+        self.touched.clear()
+        return Wait(max(MS, due - now), tuple(probes), timeout, subscribe)
+
+    def _all(self) -> list[Seat]:
+        return [*self.seats.values(), *self.leaving]
--- /dev/null
+++ b/quartzrouter/force/limits.py
@@ -0,0 +1,109 @@
+"""What is turned away before a dispatch: rates with bursts, reqs in hand, a share kept free for more value.
+
+A rate is held by one figure a key, the time at which the next req would be due if all came evenly (the
+generic cell rate algorithm, ITU-T I.371): nothing has to be topped up, and a key at rest says nothing.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from quartzrouter.plan.model import Limit
+
+KEYS_MOST = 4_096  # kept of one limit: tenants or clients seen lately, 0.7 MB each limit
+NS = 1_000  # in a us: intervals of high rates need the places
+
+
+class Denied(NamedTuple):
+    limit: str
+    come_back: int  # us; 0: no time can be named
+
+
+class Key(NamedTuple):
+    limit: str
+    of: str
+
+
+@dataclass(slots=True)
+class Count:
+    due: int = 0  # ns: when a req would be due if all came evenly
+    in_hand: int = 0
+
+
+class Limits:
+    def __init__(self, limits: dict[str, Limit]):
+        self.limits = limits
+        self.counts: dict[str, OrderedDict[str, Count]] = {}
+        self.held: dict[int, list[Key]] = {}  # by req: what it counts in
+
+    def replace(self, limits: dict[str, Limit]) -> None:
+        """Counts stay where the name stays; reqs in hand are given back wherever they count."""
+        self.limits = limits
+        in_use = {key.limit for keys in self.held.values() for key in keys}
+        for name in [name for name in self.counts if name not in limits and name not in in_use]:
+            del self.counts[name]
+
+    def admit(self, req: int, keys: list[Key], value: float, now: int) -> Denied | None:
+        """Takes the req into all its limits, or into none and says which turned it away.
+
+        :param keys: a limit's name and whom it counts, for each limit of the req's route.
+        :param now: us.
+        """
+        counts: list[tuple[Limit, Count]] = []
+        for key in keys:
+            limit, count = self.limits[key.limit], self._count(key, now)
+            if denied := self._full(limit, count, value, now):
+                return denied
+            counts.append((limit, count))
+        for limit, count in counts:
+            if limit.rate:
+                count.due = max(count.due, now * NS) + interval(limit)
+            count.in_hand += 1
+        if keys:
+            self.held[req] = keys
+        return None
+
+    def release(self, req: int) -> None:
+        """The req has had its final answer; a second call changes nothing."""
+        for key in self.held.pop(req, ()):
+            if (count := self.counts.get(key.limit, {}).get(key.of)) is not None:
+                count.in_hand -= 1
+
+    def _full(self, limit: Limit, count: Count, value: float, now: int) -> Denied | None:
+        room = limit.concurrent
+        if limit.keep_free and value < limit.below:
+            room = int(room * (1 - limit.keep_free))
+        if limit.concurrent and count.in_hand >= room:
+            return Denied(limit.name, 0)
+        if limit.rate:
+            early = count.due - (limit.burst - 1) * interval(limit) - now * NS
+            if early > 0:
+                return Denied(limit.name, -(-early // NS))
+        return None
+
+    def _count(self, key: Key, now: int) -> Count:
+        known = self.counts.setdefault(key.limit, OrderedDict())
+        count = known.get(key.of)
+        if count is None:
+            if len(known) >= KEYS_MOST:
+                self._forget(known, now)
+            count = known[key.of] = Count()
+        known.move_to_end(key.of)
+        limit = self.limits[key.limit]
+        if limit.rate:  # a plan may have made it shorter
+            count.due = min(count.due, now * NS + limit.burst * interval(limit))
+        return count
+
+    @staticmethod
+    def _forget(known: OrderedDict[str, Count], now: int) -> None:
+        """The least lately used at rest, else that with nothing in hand: it gains a burst."""
+        idle = [of for of, count in known.items() if not count.in_hand]
+        rest = next((of for of in idle if known[of].due <= now * NS), None)
+        gone = rest if rest is not None else (idle[0] if idle else None)
+        if gone is not None:
+            del known[gone]
+
+
+def interval(limit: Limit) -> int:
+    """ns between two reqs that come evenly."""
+    return round(1e9 / limit.rate)
--- /dev/null
+++ b/quartzrouter/force/ruling.py
@@ -0,0 +1,97 @@
+"""What a plan says of one req: its route, vhost, policy and limits, and by what names it is known."""
+
+import hashlib
+from typing import NamedTuple
+
+from quartzrouter.force.limits import Key
+from quartzrouter.plan.matcher import Found, Matcher
+from quartzrouter.plan.model import Plan, Policy, Route
+from quartzrouter.plan.patterns import TOKEN
+from quartzrouter.plan.sets import Asked
+
+GROUPS = 256
+NOTHING = Policy()
+
+
+class Ruling(NamedTuple):
+    route: Route
+    policy: Policy
+    obj: str  # 16 hex digits
+    part: int
+    group: int | None
+    tenant: str
+    client: str
+    path: str  # as it was asked for
+
+
+def rule(plan: Plan, matcher: Matcher, asked: Asked, client: str) -> Ruling | None:
+    """The ruling on a req, or None where no route takes it.
+
+    :param client: who asks, as its front tells.
+    """
+    found = matcher.find(asked)
+    if found is None:
+        return None
+    route = found.route
+    said = found.captures.get("part", "")
+    part = int(said) if said.isdecimal() and len(said) <= 6 else 0
+    obj = (
+        _filled(route.object, found, asked)
+        if route.object
+        else _whole(found, asked, bool(part or said == "0"))
+    )
+    group = _filled(route.group, found, asked) if route.group else None
+    return Ruling(
+        route,
+        plan.policies[route.policy] if route.policy else NOTHING,
+        digits(obj),
+        part,
+        None if group is None else int(digits(group), 16) % GROUPS,
+        _tenant(route, found, asked),
+        client,
+        f"{asked.host}{asked.path}",
+    )
+
+
+def digits(text: str) -> str:
+    """A name of any length as an id of 16 hex digits."""
+    return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+def keys(plan: Plan, ruling: Ruling, pool: str) -> list[Key]:
+    """Whom each limit of the req's route counts it for."""
+    of = {
+        "route": ruling.route.name,
+        "pool": pool,
+        "tenant": ruling.tenant,
+        "client": ruling.client,
+        "all": "",
+    }
+    return [Key(name, of[plan.limits[name].per]) for name in ruling.route.limits]
+
+
+def vhost_name(route: Route) -> str:
+    """By which the decisions know a vhost as a policy changes it."""
+    return f"{route.vhost}@{route.policy}" if route.policy else route.vhost
+
+
+def _tenant(route: Route, found: Found, asked: Asked) -> str:
+    if not route.tenant:
+        return ""
+    return found.captures.get(route.tenant) or asked.headers.get(route.tenant.lower(), "")
+
+
+def _filled(template: str, found: Found, asked: Asked) -> str:
+    known = found.captures | {"host": asked.host, "path": asked.path}
+    return TOKEN.sub(lambda token: known[token[1]] if token[1] is not None else token[0], template)
+
+
+def _whole(found: Found, asked: Asked, parted: bool) -> str:
+    """Host and path, without the number of the part where the path names one."""
+    path = asked.path
+    if parted:
+        pattern = found.route.boxes[0].path.yes[0]
+        match = pattern.expression.fullmatch(path)
+        start, end = match.span(pattern.captures.index("part") + 1)
+        path = f"{path[:start]}{{}}{path[end:]}"
+    return f"{asked.host}{path}"
--- a/quartzrouter/interface.py
+++ b/quartzrouter/interface.py
@@ -133,6 +133,7 @@
     size_kb: float  # 0: not told
     timeout: int
     tenant: str | None = None
+    dispatches: int = 0  # at most, where fewer than permitted; 0: as permitted
 
 
 @dataclass(frozen=True, slots=True)
--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -222,7 +222,7 @@
             elif kind == fastcgi.PARAMS:
                 params = fastcgi.pairs(bytes(intake.params))
                 intake.length, well = length(params), params.get("SCRIPT_NAME") == "/health"
-                intake.call = None if well else call(params, self.front.uniqued)
+                intake.call = None if well else self.front.call(params)
                 intake.whole = well
                 intake.params.clear()
             elif intake.call is None:
@@ -373,10 +373,10 @@
 
 class Front:
     def __init__(
-        self, feed: Callable[[Event], None], most: int, room: int, uniqued: Callable[[str], bool | None],
+        self, feed: Callable[[Event], None], most: int, room: int, call: Callable[[dict[str, str]], Call],
         report: Report,
     ):  # fmt: skip
-        self.feed, self.most, self.uniqued, self.report = feed, most, uniqued, report
+        self.feed, self.most, self.call, self.report = feed, most, call, report
         self.room = room  # bytes of reqs that may still be held
         self.tickets = 0
         self.seats: dict[int, Seat] = {}  # by ticket
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -6,9 +6,8 @@
 
 import heapq
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from quartzrouter.briefing import Briefing
 from quartzrouter.control import Router
 from quartzrouter.desk import ASK_WAIT, Desk
 from quartzrouter.interface import Dispatch, Ending, Outcome, Req, State, Told
@@ -34,6 +33,7 @@
     key: str | None = None
     held: str | None = None  # the tag of the client's copy
     body: bytes = b""
+    ruling: Any = None  # what a plan says of it, where there is one
 
 
 # -- events ----------------------------------------------------------------------------------------
@@ -185,8 +185,8 @@
 
 
 class Reducer(Desk):
-    def __init__(self, briefing: Briefing):
-        super().__init__(Router(**briefing.arguments))
+    def __init__(self, router: Router):
+        super().__init__(router)
         self.hands: dict[int, InHand] = {}
         self.ids: set[str] = set()  # of the reqs that are owed an answer
         self.timers: list[tuple[int, int, tuple]] = []  # when due, a number that keeps the order, for what
@@ -291,13 +291,17 @@
             self._reply(ticket, answer.denied(0))
             return
         self._timer(now + call.timeout, "req", ticket)
-        self.take(
-            Req(
-                ticket, call.vhost, call.obj.lower(), call.group, call.part, size_kb=0.0, timeout=call.timeout
-            ),
-            now,
+        self.take(self._req(ticket, call), now)
+
+    def _req(self, ticket: int, call: Call) -> Req:
+        return Req(
+            ticket, call.vhost, call.obj.lower(), call.group, call.part, size_kb=0.0, timeout=call.timeout
         )
 
+    def _fields(self, call: Call) -> list[tuple[str, str]]:
+        """What is passed on beside what the platform's page names."""
+        return []
+
     def _left(self, ticket: int, now: int) -> None:
         if (hand := self.hands.get(ticket)) and not hand.gone:
             hand.gone = True
@@ -325,6 +329,7 @@
             fields.append(("X-Opts", "+".join(opts)))
         if call.held:
             fields.append(("X-Have", call.held))
+        fields += self._fields(call)
         target = f"/x/{call.vhost}/{call.obj}/{call.part}"
         self.effects.append(Write(ticket, given.hop, target, fields, call.body))
 
--- a/quartzrouter/net/report.py
+++ b/quartzrouter/net/report.py
@@ -24,8 +24,11 @@
         if state[0] < 1:
             state[2] += 1
             return
-        more = f" ({state[2]:.0f} like it left out)" if state[2] else ""
-        state[0], state[2] = state[0] - 1, 0
+        left_out, state[0], state[2] = round(state[2]), state[0] - 1, 0
+        self.write(kind, line, left_out)
+
+    def write(self, kind: str, line: str, left_out: int) -> None:
+        more = f" ({left_out} like it left out)" if left_out else ""
         print(f"quartzrouter {self.name}: {kind}: {line}{more}", file=sys.stderr, flush=True)
 
 
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -8,18 +8,20 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
+from functools import partial
 
 import anyio
 
 from quartzrouter import control
-from quartzrouter.briefing import Post, Unusable
+from quartzrouter.briefing import Post, Unusable, read
 from quartzrouter.interface import Effect as RepeatEffect
 from quartzrouter.net import answer, journal
 from quartzrouter.net.backend import Backend
-from quartzrouter.net.front import Front
+from quartzrouter.net.front import Front, call
 from quartzrouter.net.reducer import (
-    Drop, Event, Exit, Follow, Forget, Left, Open, Over, Probe, Reducer, Reload, Reply, Stop, Tick, Write,
+    Call, Drop, Event, Exit, Follow, Forget, Left, Open, Over, Probe, Reducer, Reload, Reply, Stop, Tick,
+    Write,
 )  # fmt: skip
 from quartzrouter.net.report import Forward, Report
 
@@ -54,15 +56,14 @@
 
 
 class Service:
-    def __init__(self, environ: Mapping[str, str]):
-        self.environ, self.post = environ, (post := Post(environ))
-        self.report = Report(post.name, clock)
+    def __init__(self, post: Post, reread: Callable[[], Post] | None = None):
+        self.post, self.reread = post, reread
+        self.report = self._report()
         control.log.handlers, control.log.propagate = [Forward(self.report)], False
         control.log.setLevel(logging.INFO)
-        self.reducer = Reducer(post.briefing)
+        self.reducer = self._reducer()
         clients = post.sockets // 3
-        effects = {vhost.name: vhost.effect is RepeatEffect.UNIQUED for vhost in post.briefing.vhosts}
-        self.front = Front(self.feed, clients, post.memory // REQS_SHARE, effects.get, self.report)
+        self.front = Front(self.feed, clients, post.memory // REQS_SHARE, self._reader(), self.report)
         self.backend = Backend(
             self.feed, post.sockets - clients - RESERVE, post.memory // HELD_SHARE,
             post.briefing.idle_most / 1e6, post.briefing.connect_within / 1e6,
@@ -75,6 +76,17 @@
         self.listening: list[socket.socket] = []
         self.tasks: anyio.abc.TaskGroup
 
+    def _report(self) -> Report:
+        return Report(self.post.name, clock)
+
+    def _reducer(self) -> Reducer:
+        return Reducer(control.Router(**self.post.briefing.arguments))
+
+    def _reader(self) -> Callable[[dict[str, str]], Call]:
+        """What makes a req of a client's parameters."""
+        uniqued = {vhost.name: vhost.effect is RepeatEffect.UNIQUED for vhost in self.post.briefing.vhosts}
+        return partial(call, uniqued=uniqued.get)
+
     def feed(self, event: Event) -> None:
         """Plays an event, and whatever its effects bring about at once."""
         self.events.append(event)
@@ -219,7 +231,7 @@
     def _reload(self) -> None:
         """The configuration as it now reads; one that can't be used changes nothing."""
         try:
-            post = Post(self.environ)
+            post = self.reread()
         except Unusable as error:
             self.report.say("process", f"SIGHUP: nothing changes: {error}")
             return
@@ -248,7 +260,8 @@
             self.tasks.start_soon(self._timers)
             self.tasks.start_soon(self.backend.sweep)
             self.tasks.start_soon(self.front.sweep)
-            self.tasks.start_soon(self.journal.follow)
+            if post.journal:
+                self.tasks.start_soon(self.journal.follow)
             for raw in self.listening:
                 self.tasks.start_soon(self._accept, raw)
         self.report.say("process", "stopped")
@@ -256,7 +269,8 @@
 
 def main(environ) -> int:
     try:
-        anyio.run(Service(environ).run, backend_options=LOOP)
+        service = Service(Post(read(environ), environ), lambda: Post(read(environ), environ))
+        anyio.run(service.run, backend_options=LOOP)
     except Unusable as error:
         print(f"quartzrouter: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/quartzrouter/plan/load.py
@@ -0,0 +1,75 @@
+"""A plan from files to a checked Plan, with all that is wrong with it."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from quartzrouter.plan.build import Build
+from quartzrouter.plan.evaluate import Evaluation, Loader, Unreadable
+from quartzrouter.plan.fault import Broken, Faults, Place, Source
+from quartzrouter.plan.model import Plan
+from quartzrouter.plan.parse import TEXT_MOST
+from quartzrouter.plan.schema import BAD, Check
+from quartzrouter.plan.shadows import check_routes
+from quartzrouter.plan.values import POISON, Slot
+from quartzrouter.plan.vocabulary import PLAN
+
+
+@dataclass
+class Loaded:
+    plan: Plan | None  # None where it has errors
+    faults: Faults
+    value: object  # as evaluated
+    sources: list[Source]
+
+
+def from_disk(stdin: str | None = None) -> Loader:
+    """Reads files; `-` is what came on standard input."""
+
+    def load(path: str) -> str:
+        if path == "-" and stdin is not None:
+            return stdin
+        try:
+            data = Path(path).read_bytes() if _fits(path) else b""
+        except IsADirectoryError:
+            raise Unreadable("is a folder, not a file") from None
+        except FileNotFoundError:
+            raise Unreadable("there is no such file") from None
+        except (OSError, ValueError) as error:
+            raise Unreadable(f"can't be read: {getattr(error, 'strerror', None) or error}") from None
+        try:
+            return data.decode()
+        except UnicodeDecodeError as error:
+            raise Unreadable(f"is not UTF-8 at byte {error.start}") from None
+
+    return load
+
+
+def _fits(path: str) -> bool:
+    if Path(path).is_file() and Path(path).stat().st_size > TEXT_MOST:
+        raise Unreadable(f"is larger than {TEXT_MOST >> 20} MiB")
+    return True
+
+
+def load(path: str, read: Loader | None = None) -> Loaded:
+    """Reads, evaluates and checks a plan; raises nothing for what is wrong with it."""
+    faults = Faults()
+    evaluation = Evaluation(read or from_disk(), faults)
+    try:
+        value = evaluation.file(path)
+    except Broken as error:
+        faults.add(error.fault)
+        value = POISON
+    sources = evaluation.sources
+    if value is POISON:
+        return Loaded(None, faults, value, sources)
+    check = Check(faults)
+    start = Place(sources[0], 1, 1)
+    check.places[()] = start
+    told = PLAN.take(check, (), Slot(value, start))
+    plan = None
+    if told is not BAD:
+        plan = Build(told, check).plan()
+    if plan is not None:
+        check_routes(plan, check)
+        plan = None if faults.errors else plan
+    return Loaded(plan, faults, value, sources)
--- /dev/null
+++ b/quartzrouter/plan/model.py
@@ -0,0 +1,113 @@
+"""A checked plan, as plain values: what the matcher, the limits and the pools take."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from quartzrouter.interface import VHost
+from quartzrouter.plan.fault import Place
+from quartzrouter.plan.sets import Box
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What a route changes of its vhost; None: as the vhost has it."""
+
+    fresh_for: int | None = None  # us
+    grace_for: int | None = None  # us
+    old_share: float | None = None
+    first_byte_target: int | None = None  # us
+    value: float | None = None
+    rank: int | None = None
+    dispatches: int | None = None
+    budget: float | None = None  # further dispatches for each req
+    deny: bool | None = None
+    come_back: int | None = None  # us
+
+
+@dataclass(frozen=True, slots=True)
+class Amount:
+    """A number of caches, or a share of those listed."""
+
+    count: int = 0
+    share: float = 0.0
+
+    def of(self, listed: int) -> float:
+        return self.share * listed if self.share else self.count
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    name: str
+    stores: tuple[str, ...]
+    kinds: tuple[str, ...] = ()  # none named: any
+    cells: tuple[int, ...] = ()
+    caches: tuple[str, ...] = ()
+    fallback: str | None = None
+    at_least: Amount | None = None
+    back_at: Amount | None = None
+    back_after: int = 0  # us
+
+
+@dataclass(frozen=True, slots=True)
+class Split:
+    name: str
+    by: str  # object or client
+    parts: tuple[tuple[str, float], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    name: str
+    per: str
+    rate: float = 0.0  # reqs a second; 0: none
+    burst: int = 0
+    concurrent: int = 0  # 0: any
+    keep_free: float = 0.0
+    below: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    name: str
+    order: int
+    boxes: tuple[Box, ...]  # together what it takes
+    vhost: str
+    pool: str  # or a split
+    policy: str | None
+    limits: tuple[str, ...]
+    tenant: str | None
+    object: str | None
+    group: str | None
+
+
+@dataclass(frozen=True)
+class Plan:
+    deployment: dict[str, Any]
+    stores: dict[str, str]  # its hub
+    hubs: dict[str, str | None]  # the one above
+    caches: dict[str, dict[str, Any]]
+    vhosts: dict[str, VHost]
+    policies: dict[str, Policy]
+    pools: dict[str, Pool]
+    splits: dict[str, Split]
+    limits: dict[str, Limit]
+    routes: tuple[Route, ...]
+    places: dict[tuple[str, ...], Place] = field(default_factory=dict, compare=False)
+
+    def pools_of(self, name: str) -> list[str]:
+        """The pools that a route's pool or split leads to, without fallbacks."""
+        return [pool for pool, _ in self.splits[name].parts] if name in self.splits else [name]
+
+    def members(self, pool: Pool) -> list[str]:
+        """Caches listed in the plan that belong to a pool."""
+        return [name for name, cache in self.caches.items() if belongs(pool, name, cache)]
+
+
+def belongs(pool: Pool, name: str, cache: dict[str, Any]) -> bool:
+    return (
+        cache["tier"] == "cache"
+        and (not pool.stores or cache["at"] in pool.stores)
+        and (not pool.kinds or cache["kind"] in pool.kinds)
+        and (not pool.cells or cache["cell"] in pool.cells)
+        and (not pool.caches or name in pool.caches)
+    )
--- /dev/null
+++ b/quartzrouter/site/__init__.py
@@ -0,0 +1,1 @@
+"""A router under a plan, in an installation of our own: `quartzrouter run PLAN`."""
--- /dev/null
+++ b/quartzrouter/site/serve.py
@@ -0,0 +1,83 @@
+"""The process under a plan: the platform's one, with the plan read anew at SIGHUP as one event."""
+
+import sys
+from dataclasses import replace
+from typing import Any
+
+import anyio
+
+from quartzrouter.briefing import Post, Section, Unusable
+from quartzrouter.force.force import Force
+from quartzrouter.net import serve
+from quartzrouter.net.journal import Lines, known
+from quartzrouter.net.report import Report
+from quartzrouter.plan.compile import compiled, members
+from quartzrouter.plan.load import Loaded, load
+from quartzrouter.plan.model import Plan
+from quartzrouter.site.asking import Asking
+from quartzrouter.site.logs import Structured
+from quartzrouter.site.reducer import NewPlan, PlannedReducer
+
+
+class Planned(serve.Service):
+    """A router under a plan.
+
+    :param path: the plan's file, read again at SIGHUP.
+    :param log: a structured log.
+    """
+
+    def __init__(self, path: str, plan: Plan, log: Any):
+        self.path, self.plan, self.log = path, plan, log
+        super().__init__(post(plan))
+
+    def _report(self) -> Report:
+        return Structured(self.post.name, serve.clock, self.log)
+
+    def _reducer(self) -> PlannedReducer:
+        self.force = Force(self.plan, self.post.briefing.arguments)
+        return PlannedReducer(self.force)
+
+    def _reader(self):
+        return Asking(self.force, self.plan.deployment["home"]).call
+
+    def _reload(self) -> None:
+        """The plan as it now reads; a faulty one changes nothing and costs its messages."""
+        try:
+            loaded: Loaded = load(self.path)
+        except Exception as error:  # a fault of ours may not end the service
+            self.report.say("process", f"SIGHUP: nothing changes: {type(error).__name__}: {error}")
+            return
+        if loaded.plan is None:
+            faults = loaded.faults.errors
+            more = f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
+            self.report.say("process", f"SIGHUP: nothing changes: {faults[0].head}{more}")
+            return
+        kept = [key for key, was in self.plan.deployment.items() if loaded.plan.deployment[key] != was]
+        lines = None if loaded.plan.deployment["journal"] else self._lines(loaded.plan)
+        self.plan = loaded.plan
+        change = f"; {', '.join(kept)} kept until the next start" if kept else ""
+        self.report.say("process", f"SIGHUP: the plan is in force, {len(self.plan.routes)} routes{change}")
+        self.feed(NewPlan(self.plan, lines))
+
+    def _lines(self, plan: Plan) -> Lines:
+        """The caches that a plan lists; those that weren't listed before are taken for just started."""
+        hosts = {"hosts": {"complete": True, "members": members(plan)}}
+        (lines,) = known([Section(hosts)], self.post.briefing)
+        listed, now = self.reducer.addresses, self._time()
+        fresh = [line if line.name in listed else replace(line, started=now) for line in lines.lines]
+        return lines._replace(lines=fresh)
+
+
+def post(plan: Plan) -> Post:
+    """Where the router stands, by the plan's words in the platform's."""
+    return Post(compiled(plan), {}, journal_needed=False)
+
+
+def run(path: str, plan: Plan, log: Any) -> int:
+    """Serves until SIGTERM; gives the exit status."""
+    try:
+        anyio.run(Planned(path, plan, log).run, backend_options=serve.LOOP)
+    except Unusable as error:
+        print(f"quartzrouter: {path}: {error}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -154,7 +154,7 @@
             "never_kept": [False, True, True],
             "pass_through_ok": True,
         }
-        self.reducer = reducer.Reducer(Briefing(setup, 7))
+        self.reducer = reducer.Reducer(control.Router(**Briefing(setup, 7).arguments))
         self.list(whole=True, c1="up", c2="up", p1="up", o="up")
 
     def list(self, whole=False, **states):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,7 @@
 import anyio
 
 from conftest import SETUP
+from quartzrouter.briefing import Post, read
 from quartzrouter.net import fastcgi, serve
 from quartzrouter.net.ring import Ring
 
@@ -144,13 +145,16 @@
                     self.tell(cache, await self.listen(tasks, self.journal), **other)
                     port = await free_port()
                     environ = {"NODE_CONFIG": str(self.path), "NODE_LISTEN": f"127.0.0.1:{port}"}
-                    self.service = serve.Service(environ)
+                    self.service = self.router(environ)
                     tasks.start_soon(self.service.run)
                     await scene(lambda: self.connect(port))
                     tasks.cancel_scope.cancel()
 
         anyio.run(run, backend_options=serve.LOOP)
 
+    def router(self, environ):
+        return serve.Service(Post(read(environ), environ), lambda: Post(read(environ), environ))
+
     async def connect(self, port):
         while True:
             try:
