--- a/quartzrouter/plan/layout.py
+++ b/quartzrouter/plan/layout.py
@@ -39,6 +39,7 @@
     def __init__(self, comments: list) -> None:
         self.comments = sorted(comments, key=lambda token: token.start_pos)
         self.at = 0
+        self.forced: set[int] = set()  # nodes that go over several lines as what they stand in is too long
 
     def file(self, root: tree.Node) -> str:
         lines = self._entries([root], 0, "")
@@ -79,11 +80,14 @@
         last = None  # the source's line where the entry before this one ended
         for entry in entries:
             lead: list[str] = []
+            nested = end == ";" and isinstance(entry, tree.Let)  # names behind names, in parentheses
             first = entry.place.line
             while self._before(entry.place):
                 first = min(first, self._next().line)
                 lead.append(" " * indent + self._take())
-            body = self._lay(entry, indent)
+            body = (
+                self._cat([["("], self._part(entry, indent), [")"]]) if nested else self._lay(entry, indent)
+            )
             body[0] = " " * indent + body[0]
             body[-1] += ";" if isinstance(entry, tree.Local) and end == ";" else end if end != ";" else ""
             while (token := self._next()) and token.line < entry.end:
@@ -107,24 +111,29 @@
 
     # -- nodes: lines, the first without its indent --------------------------------------------------------
 
-    def _lay(self, node: Entry, indent: int) -> list[str]:
+    def _lay(self, node: Entry, indent: int, head: int = 0) -> list[str]:
+        """The lines of a node, behind so many characters on its first."""
         match node:
             case tree.Field():
-                return self._cat([[self._key(node, indent)], self._lay(node.value, indent)])
+                key = self._key(node)
+                return self._cat([[key], self._lay(node.value, indent, len(key))])
             case tree.Local():
-                return self._cat([[self._local(node)], self._lay(body_of(node), indent)])
+                name = self._local(node)
+                return self._cat([[name], self._lay(body_of(node), indent, len(name))])
             case tree.Let():
                 return self._let(node, indent)
             case tree.Record():
-                return self._container(node, [*node.locals, *node.fields], "{", "}", indent)
+                return self._container(node, [*node.locals, *node.fields], "{}", indent, head)
             case tree.Items():
-                return self._container(node, node.items, "[", "]", indent)
+                return self._container(node, node.items, "[]", indent, head)
             case tree.RecordFor():
-                return self._loop(node, node.field_, "{", "}", indent)
+                return self._loop(node, node.field_, "{}", indent, head)
             case tree.ItemsFor():
-                return self._loop(node, node.item, "[", "]", indent)
+                return self._loop(node, node.item, "[]", indent, head)
             case tree.Binary():
                 level = LEVELS[node.sign]
+                if id(node) in self.forced or indent + head + len(flat(node)) > WIDTH:
+                    self.forced.update(id(part) for part in (node.left, node.right))
                 right = self._inside(node.right, level + 1, indent)
                 left_level = level + 1 if level == 3 else level
                 return self._cat([self._inside(node.left, left_level, indent), [f" {node.sign} "], right])
@@ -134,23 +143,23 @@
                 return self._cat(
                     [
                         ["if "],
-                        self._lay(node.test, indent),
+                        self._part(node.test, indent),
                         [" then "],
-                        self._lay(node.yes, indent),
+                        self._part(node.yes, indent),
                         [" else "],
-                        self._lay(node.no, indent),
+                        self._part(node.no, indent),
                     ]
                 )
             case tree.Member():
                 return self._cat([self._inside(node.of, POSTFIX, indent), [f".{node.name}"]])
             case tree.Index():
                 of = self._inside(node.of, POSTFIX, indent)
-                return self._cat([of, ["["], self._lay(node.at, indent), ["]"]])
+                return self._cat([of, ["["], self._part(node.at, indent), ["]"]])
             case tree.CallOf():
                 pieces = [self._inside(node.of, POSTFIX, indent), ["("]]
                 for n, argument in enumerate(node.arguments):
                     pieces += [[", "]] if n else []
-                    pieces.append(self._lay(argument, indent))
+                    pieces.append(self._part(argument, indent))
                 return self._cat([*pieces, [")"]])
         return [flat(node)]
 
@@ -161,11 +170,15 @@
             lines += piece[1:]
         return lines
 
+    def _part(self, node: tree.Node, indent: int) -> list[str]:
+        """What stands in the middle of a line: names given there stay on it."""
+        return [flat(node)] if isinstance(node, tree.Let) else self._lay(node, indent)
+
     def _inside(self, node: tree.Node, level: int, indent: int) -> list[str]:
-        lines = self._lay(node, indent)
+        lines = self._part(node, indent)
         return self._cat([["("], lines, [")"]]) if level_of(node) < level else lines
 
-    def _key(self, node: tree.Field, indent: int) -> str:
+    def _key(self, node: tree.Field) -> str:
         how = "override " if node.how == "override" else ""
         return f"{how}{key_text(node)}{'+: ' if node.how == '+:' else ': '}"
 
@@ -180,26 +193,28 @@
         lines[0] = lines[0][indent:] if lines[0].startswith(" " * indent) else lines[0]
         return lines
 
-    def _spreads(self, node: tree.Node, parts: list[Entry], indent: int) -> bool:
+    def _spreads(self, node: tree.Node, parts: list[Entry], indent: int, head: int) -> bool:
         if not parts and not self._holds(node):
             return False
-        if getattr(node, "spread", False) or self._holds(node) or any(map(spread_within, parts)):
+        if id(node) in self.forced or getattr(node, "spread", False):
+            return True
+        if self._holds(node) or any(map(spread_within, parts)):
             return True
-        return indent + len(flat(node)) > WIDTH
+        return indent + head + len(flat(node)) > WIDTH
 
-    def _container(self, node, parts: list[Entry], opening: str, closing: str, indent: int) -> list[str]:
-        if not self._spreads(node, parts, indent):
+    def _container(self, node, parts: list[Entry], marks: str, indent: int, head: int) -> list[str]:
+        if not self._spreads(node, parts, indent, head):
             return [flat(node)]
         inner = indent + STEP
-        lines = [opening, *self._entries(parts, inner, ",")]
+        lines = [marks[0], *self._entries(parts, inner, ",")]
         lines += self._rest(node.end, inner)
-        return [*lines, " " * indent + closing]
+        return [*lines, " " * indent + marks[1]]
 
-    def _loop(self, node, made: Entry, opening: str, closing: str, indent: int) -> list[str]:
-        if not self._spreads(node, [made, node.loop.among], indent):
+    def _loop(self, node, made: Entry, marks: str, indent: int, head: int) -> list[str]:
+        if not self._spreads(node, [made, node.loop.among], indent, head):
             return [flat(node)]
         inner = indent + STEP
-        lines = [opening, *self._entries([made], inner, "")]
+        lines = [marks[0], *self._entries([made], inner, "")]
         loop = node.loop
         among = self._cat([[f"for {loop.name} in "], self._lay(loop.among, inner)])
         among[0] = " " * inner + among[0]
@@ -209,7 +224,7 @@
             test[0] = " " * inner + test[0]
             lines += test
         lines += self._rest(node.end, inner)
-        return [*lines, " " * indent + closing]
+        return [*lines, " " * indent + marks[1]]
 
 
 def body_of(local: tree.Local) -> tree.Node:
@@ -293,7 +308,8 @@
             head = f"local {node.name}" + (f"({', '.join(parameters)})" if parameters is not None else "")
             return f"{head} = {flat(body_of(node))}"
         case tree.Let():
-            return " ".join([*(flat(local) + ";" for local in node.locals), flat(node.body)])
+            body = f"({flat(node.body)})" if isinstance(node.body, tree.Let) else flat(node.body)
+            return " ".join([*(flat(local) + ";" for local in node.locals), body])
         case tree.Record():
             inner = ", ".join(flat(part) for part in below(node))
             return f"{{ {inner} }}" if inner else "{}"
--- a/quartzrouter/plan/parse.py
+++ b/quartzrouter/plan/parse.py
@@ -221,7 +221,7 @@
         return self.node(tree.Items, children, items, self._spread(children))
 
     def items_for(self, children):
-        return self.node(tree.ItemsFor, children, children[1], children[2])
+        return self.node(tree.ItemsFor, children, children[1], children[2], self._spread(children))
 
     def loop(self, children):
         test = children[5] if len(children) > 5 else None
@@ -234,7 +234,7 @@
         return self.node(tree.Record, children, locals_, fields, self._spread(children))
 
     def record_for(self, children):
-        return self.node(tree.RecordFor, children, children[1], children[2])
+        return self.node(tree.RecordFor, children, children[1], children[2], self._spread(children))
 
     def _spread(self, children) -> bool:
         """Whether what follows the bracket begins on a line of its own."""
--- a/quartzrouter/plan/schema.py
+++ b/quartzrouter/plan/schema.py
@@ -60,14 +60,14 @@
         if value is POISON:
             return BAD
         if isinstance(value, Closure):
-            return check.note(slot.place, f"'{path[-1]}' is a function", "call it", "type")
+            return check.note(slot.place, f"{said(path)} is a function", "call it", "type")
         return self.make(check, path, slot)
 
     def make(self, check: Check, path: Path, slot: Slot) -> Any:
         raise NotImplementedError
 
     def wrong(self, check: Check, path: Path, slot: Slot, remedy: str = "") -> Bad:
-        reason = f"'{path[-1]}' is {kind(slot.value)} where {self.says} belongs"
+        reason = f"{said(path)} is {kind(slot.value)} where {self.says} belongs"
         return check.note(slot.place, reason, remedy, "type")
 
 
@@ -311,6 +311,10 @@
         return found
 
 
+def said(path: Path) -> str:
+    return f"'{path[-1]}'" if path else "the plan"
+
+
 def unmet(check: Check, path: Path, name: str, slot: Slot, among: dict[str, Slot]) -> bool:
     """An override or a merge that met nothing."""
     if slot.how == ":":
--- a/quartzrouter/plan/tree.py
+++ b/quartzrouter/plan/tree.py
@@ -95,6 +95,7 @@
 class ItemsFor(Node):
     item: Node
     loop: For
+    spread: bool = False
 
 
 @dataclass(slots=True)
@@ -115,6 +116,7 @@
 class RecordFor(Node):
     field_: Field
     loop: For
+    spread: bool = False
 
 
 @dataclass(slots=True)
