--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -224,10 +224,6 @@
         self._done(req_id)
         return hop
 
-    def begun(self, req_id: int) -> None:
-        if seat := self.where.get(req_id):
-            seat.router.begun(req_id)
-
     def heard(self, lines: list[Listed], whole: bool, now: int) -> None:
         named = {line.name: line for line in lines}
         self.lines = named if whole else self.lines | named
@@ -246,10 +242,6 @@
             seat.router.probed(name, ending, report, now)
         self.touched.update(self._all())
 
-    def list_failed(self, now: int) -> None:
-        for seat in self._all():
-            seat.router.list_failed(now)
-
     def wait(self, now: int) -> Wait:
         """Asks those routers that something happened to, or whose time has come."""
         probes: dict[str, None] = {}
--- a/quartzrouter/force/ruling.py
+++ b/quartzrouter/force/ruling.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from quartzrouter.force.limits import Key
+from quartzrouter.interface import VHost
 from quartzrouter.plan.matcher import Found, Matcher
 from quartzrouter.plan.model import Plan, Policy, Route
 from quartzrouter.plan.patterns import TOKEN
@@ -16,6 +17,7 @@
 class Ruling(NamedTuple):
     route: Route
     policy: Policy
+    vhost: VHost  # as the plan has it, whatever the policy changes
     obj: str  # 16 hex digits
     part: int
     group: int | None
@@ -44,6 +46,7 @@
     return Ruling(
         route,
         plan.policies[route.policy] if route.policy else NOTHING,
+        plan.vhosts[route.vhost],
         digits(obj),
         part,
         None if group is None else int(digits(group), 16) % GROUPS,
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -298,6 +298,10 @@
             ticket, call.vhost, call.obj.lower(), call.group, call.part, size_kb=0.0, timeout=call.timeout
         )
 
+    def _kept(self, call: Call) -> bool:
+        """Whether caches keep copies of it, so that an answer has a tag and a time."""
+        return not self.router.vhosts[call.vhost].never_kept
+
     def _fields(self, call: Call) -> list[tuple[str, str]]:
         """What is passed on beside what the platform's page names."""
         return []
@@ -336,8 +340,7 @@
     def _head(self, ticket: int, going: Going, head: Head, now: int) -> None:
         call = self.hands[ticket].call
         going.head = head
-        kept = not self.router.vhosts[call.vhost].never_kept
-        unmarked = head.status in (DONE, SAME) and kept and not head.marked
+        unmarked = head.status in (DONE, SAME) and self._kept(call) and not head.marked
         if unmarked or (head.status == SAME and not call.held):
             self._end(ticket, going, Ending.CUT, now)  # nothing that may be passed on; it may have run
 
--- a/quartzrouter/plan/build.py
+++ b/quartzrouter/plan/build.py
@@ -4,7 +4,7 @@
 
 from quartzrouter.interface import Effect, VHost
 from quartzrouter.plan import patterns, sets
-from quartzrouter.plan.fault import Place, Weight, meant, names
+from quartzrouter.plan.fault import Place, meant, names
 from quartzrouter.plan.model import Amount, Limit, Plan, Policy, Pool, Route, Split, belongs
 from quartzrouter.plan.schema import BAD, Check, Path
 from quartzrouter.plan.vocabulary import COLD
@@ -454,7 +454,3 @@
 
 def _one(part: str) -> str:
     return {"policies": "policy"}.get(part, part.removesuffix("s"))
-
-
-def overlap_warning(check: Check, place: Place, reason: str, remedy: str, also) -> None:
-    check.note(place, reason, remedy, "overlap", also, Weight.WARNING)
--- a/quartzrouter/plan/diff.py
+++ b/quartzrouter/plan/diff.py
@@ -11,11 +11,9 @@
 
 from quartzrouter.plan.matcher import Matcher
 from quartzrouter.plan.model import Plan, Policy, Pool, Route
-from quartzrouter.plan.patterns import METHODS
 from quartzrouter.plan.sets import Asked, Box, rest
 from quartzrouter.plan.shadows import Near
 
-SAID = ("vhost", "pool", "policy", "limits", "tenant", "object", "group")
 Pair = tuple[str | None, str | None]  # the old route's name and the new one's; None: no route takes it
 
 
@@ -121,7 +119,6 @@
 
     def _changes(self) -> Iterable[Change]:
         near = Near(self.new.routes), Near(self.old.routes)
-        taken_old: list[Route] = []
         for old in self.old.routes:
             boxes = self._own(old, near[1])
             for new in near[0].of(old):
@@ -129,7 +126,6 @@
                     yield self._change(old, new, found)
             if boxes and (found := self._left(boxes, near[0].of(old))):
                 yield self._change(old, None, found)
-            taken_old.append(old)
         for new in self.new.routes:
             boxes = self._own(new, near[0])
             if boxes and (found := self._left(boxes, near[1].of(new))):
@@ -205,7 +201,3 @@
             else:
                 stray[pair] += 1
         return counts, +stray
-
-
-def universe(plan: Plan) -> tuple[list[str], tuple[str, ...]]:
-    return sorted(plan.stores), METHODS
--- a/quartzrouter/plan/explain.py
+++ b/quartzrouter/plan/explain.py
@@ -73,7 +73,7 @@
     behind = plan.routes[route.order + 1 :]
     later = [other.name for other in behind if any(takes(box, req) for box in other.boxes)]
     if later:
-        lines.append(Line("also matched by", ", ".join(later[:5]), plan_place(plan, "routes", later[0])))
+        lines.append(Line("also matched by", ", ".join(later[:5]), plan.places.get(("routes", later[0]))))
     return lines
 
 
@@ -99,12 +99,8 @@
     return lines
 
 
-def plan_place(plan: Plan, *path: str) -> Place | None:
-    return plan.places.get(path)
-
-
 def _line(plan: Plan, what: str, value: str, *path: str) -> Line:
-    return Line(what, value, plan_place(plan, *path))
+    return Line(what, value, plan.places.get(path))
 
 
 DURATIONS = {"client_timeout", "first_byte_target", "repeats_for", "fresh_for", "grace_for", "come_back"}
@@ -123,4 +119,4 @@
         text = f"{value:g}"
     else:
         text = str(getattr(value, "value", value)).lower()
-    return Line(what, text, plan_place(plan, *path))
+    return Line(what, text, plan.places.get(path))
--- a/quartzrouter/site/asking.py
+++ b/quartzrouter/site/asking.py
@@ -30,7 +30,7 @@
         ruling = self.force.rule(asked, client)
         if ruling is None:
             raise Unusable("no route takes it", 404)
-        vhost = self.force.plan.vhosts[ruling.route.vhost]
+        vhost = ruling.vhost
         key = params.get("HTTP_X_OPERATION_KEY")
         if key is None and vhost.effect is Effect.UNIQUED:
             raise Unusable("X-Operation-Key is missing")
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -54,6 +54,9 @@
             dispatches=self.force.dispatches(call.ruling),
         )
 
+    def _kept(self, call: Call) -> bool:
+        return not call.ruling.vhost.never_kept  # of the plan it came with
+
     def _fields(self, call: Call) -> list[tuple[str, str]]:
         return [("X-Path", call.ruling.path)]
 
--- a/quartzrouter/site/serve.py
+++ b/quartzrouter/site/serve.py
@@ -64,6 +64,12 @@
             more = f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
             self.report.say("process", f"SIGHUP: nothing changes: {faults[0].head}{more}")
             return
+        home = self.post.briefing.arguments["home"]
+        if home not in loaded.plan.stores:
+            self.report.say(
+                "process", f"SIGHUP: nothing changes: the home store '{home}' is gone; restart for that"
+            )
+            return
         kept = [key for key, was in self.plan.deployment.items() if loaded.plan.deployment[key] != was]
         lines = None if loaded.plan.deployment["journal"] else self._lines(loaded.plan)
         self.plan = loaded.plan
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -226,3 +226,10 @@
     from standins import World  # which takes the setup above
 
     return World(tmp_path)
+
+
+@pytest.fixture(autouse=True)
+def no_log_is_left():
+    """The log of the decisions is one for the process; a service in a test takes it over."""
+    yield
+    control.log.handlers = []
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -281,3 +281,33 @@
         and 'router="r 1"' in line
         and "level=warning" in line
     )
+
+
+def test_a_req_in_hand_outlives_its_vhost_and_route(site, capsys):
+    site.delay = 0.3
+
+    async def scene(connect):
+        client = await connect()
+        await client.begin(1, path="/a")
+        await anyio.sleep(0.1)
+        site.path.write_text(site.path.read_text().replace("page", "leaf").replace("all:", "every:"))
+        await hup()
+        assert status(await client.end()) == "200"
+        await client.begin(2, path="/b")
+        assert status(await client.end()) == "200"
+
+    site.play_site(scene)
+    assert "fault" not in capsys.readouterr().err
+
+
+def test_a_plan_without_the_home_store_changes_nothing(site, capsys):
+    async def scene(connect):
+        client = await connect()
+        text = site.path.read_text().replace('home: "north"', 'home: "south"').replace("north: {", "west: {")
+        site.path.write_text(text.replace('at: "north"', 'at: "west"'))
+        await hup()
+        await client.begin(1, path="/a")
+        assert status(await client.end()) == "200"
+
+    site.play_site(scene)
+    assert "nothing changes: the home store 'north' is gone" in capsys.readouterr().err
