Pools share cold servers' budgets and sources' limits, through a new plan as well

Cause: each pool's Router reckoned cold budgets as of the plan it was made under, and a new one began with all of its own: a reload from two to six pools sent 20 dispatches to a cold cache in the window that allows 4. Change: shares follow the number of pools at every change, a new Router's budgets are spent for its first window, and a pool that goes with nothing in hand leaves at once.

--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -114,32 +114,45 @@
     def _seat(self, now: int) -> None:
         """A Router for each pool: the one of that name, or a new one that knows the list and the purges."""
         before, self.seats = self.seats, {}
-        self.leaving += [seat for name, seat in before.items() if name not in self.plan.pools]
+        gone = [seat for name, seat in before.items() if name not in self.plan.pools]
+        self.leaving = [seat for seat in (*self.leaving, *gone) if seat.router.flights]
         for name, pool in self.plan.pools.items():
-            seat = before.get(name) or Seat(pool, self._router(pool, len(self.plan.pools)))
+            known = before.get(name)
+            seat = known or Seat(pool, self._router())
             seat.pool, seat.router.roster.homes = pool, self._homes(pool)
             seat.router.vhosts.update(self.vhosts)
             for vhost in self.vhosts:
                 seat.router.sending.setdefault(vhost, Histogram(4 * MS))
             if self.lines:
                 seat.hear(list(self.lines.values()), True, now)
+                if not known:
+                    self._spent(seat.router, now)
             self.seats[name] = seat
+        for seat in self._all():
+            self._share(seat, len(self._all()))
         self.touched.update(self.seats.values())
 
-    def _router(self, pool: Pool, pools: int) -> Router:
-        """Cold servers' budgets are shared by all routers, and by all pools of each."""
-        told = dict(self.arguments)
-        everyone = told["cold_parent"].routers
-        foreign = pool.stores != (told["home"],)
-        for key in ("cold_cache", "cold_parent"):
-            cold: ColdStart = told[key]
-            reach = everyone if foreign else cold.routers
-            told[key] = replace(cold, routers=reach * pools)
-        told["vhosts"] = list(self.vhosts.values())
-        router = Router(**told)
+    def _router(self) -> Router:
+        router = Router(**(self.arguments | {"vhosts": list(self.vhosts.values())}))
         router.purges.at = dict(self.purges.at)
         return router
 
+    def _share(self, seat: Seat, pools: int) -> None:
+        """Cold servers' budgets and sources' limits are shared by all routers, and by all pools of each."""
+        everyone, home = self.arguments["cold_parent"].routers, (self.arguments["home"],)
+        for key, tier in (("cold_cache", Tier.CACHE), ("cold_parent", Tier.PARENT)):
+            cold: ColdStart = self.arguments[key]
+            reach = cold.routers if seat.pool.stores == home else everyone
+            seat.router.warm[tier].cold = replace(cold, routers=reach * pools)
+        seat.router.fills.routers = everyone * pools
+
+    @staticmethod
+    def _spent(router: Router, now: int) -> None:
+        """A new Router has no budget for what is cold until a window has passed: others have used theirs."""
+        for at, started in router.roster.started.items():
+            if started and (warm := router.warm.get(router.roster.be[at].tier)):
+                warm.spend(at, NEVER, now)
+
     def _homes(self, pool: Pool) -> tuple[str, ...]:
         """Where a pool's caches stand; one that names caches only has them wherever they are."""
         return pool.stores or tuple({self.plan.caches[name]["at"] for name in pool.caches})
--- a/tests/test_force.py
+++ b/tests/test_force.py
@@ -1,6 +1,7 @@
 """Limits, pools and a plan in force, played by hand: no I/O, no clock but the one handed in."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -304,3 +305,43 @@
     assert played.end(Ending.DONE, 1) is None
     assert played.force.leaving == [] and not played.force.where and not played.force.rulings
     assert played.req("/far/a").be.startswith("n")
+
+
+def sent_cold(played, change):
+    """Dispatches to a cold cache within a window, with a change of the plan in its middle."""
+    played.list(played.plan)
+    for name, line in list(played.force.lines.items()):
+        if name == "n1":
+            played.force.heard([replace(line, started=played.now)], False, played.now)
+    sent = 0
+    for n in range(400):
+        if n == 200:
+            change()
+        played.now += 2 * MS
+        answer = played.req(f"/{n}")
+        sent += isinstance(answer, Dispatch) and answer.be == "n1"
+        if isinstance(answer, Dispatch):
+            played.end(Ending.DONE)
+    return sent
+
+
+def test_a_cold_cache_is_not_pushed_over_by_new_pools():
+    pools = "".join(f'm{n}: {{ stores: "north" }}, ' for n in range(4))
+    routes = "".join(
+        f'm{n}: {{ match: {{ path: "/*{n}" }}, vhost: "page", pool: "m{n}" }}, ' for n in range(4)
+    )
+    text = PLAN.replace("pools: {", "pools: { " + pools).replace("routes: {", "routes: { " + routes)
+    steady, changed = Played(), Played()
+    before = sent_cold(steady, lambda: None)
+    after = sent_cold(changed, lambda: changed.force.replace(changed.load(text), changed.now))
+    assert 0 < after <= before
+    routers = {seat.router.warm[Tier.CACHE].cold.routers for seat in changed.force.seats.values()}
+    assert routers == {6}  # one router, six pools
+    assert {seat.router.fills.routers for seat in changed.force.seats.values()} == {6}
+
+
+def test_a_pool_that_goes_with_nothing_in_hand_leaves_at_once(played):
+    text = PLAN.replace('far: { stores: "south" },', 'other: { stores: "south" },')
+    text = text.replace('"far"', '"other"')
+    played.force.replace(played.load(text), played.now)
+    assert played.force.leaving == [] and set(played.force.seats) == {"near", "other"}
