--- a/quartzrouter/standin/loopback.py
+++ b/quartzrouter/standin/loopback.py
@@ -1,7 +1,7 @@
 """A client that speaks FastCGI, and caches that answer over HTTP/1.1, by the public pages of both."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
@@ -105,14 +105,7 @@
 
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
         async with stream:
-            data = b""
-            while True:
-                try:
-                    while b"\r\n\r\n" not in data:
-                        data += await stream.receive()
-                except (anyio.EndOfStream, anyio.BrokenResourceError):
-                    return
-                head, _, data = data.partition(b"\r\n\r\n")
+            async for head in heads(stream):
                 if head.startswith(b"GET /alive"):
                     await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                     continue
@@ -128,6 +121,19 @@
                     self.open -= 1
 
 
+async def heads(stream: anyio.abc.ByteStream) -> AsyncIterator[bytes]:
+    """The head of each req on a connection, without a body, until it ends."""
+    data = b""
+    while True:
+        try:
+            while b"\r\n\r\n" not in data:
+                data += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return
+        head, _, data = data.partition(b"\r\n\r\n")
+        yield head
+
+
 async def listen(tasks: anyio.abc.TaskGroup, handler: Callable) -> str:
     """Serves connections with the handler; gives the address."""
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -7,7 +7,7 @@
 from conftest import SETUP
 from quartzrouter.briefing import Post, read
 from quartzrouter.net import serve
-from quartzrouter.standin.loopback import MARKS, WHOLE, Client, begin, free_port, listen
+from quartzrouter.standin.loopback import MARKS, WHOLE, Client, begin, free_port, heads, listen
 
 __all__ = ["MARKS", "WHOLE", "Client", "World", "begin", "free_port"]
 
@@ -29,15 +29,8 @@
 
     async def serve(self, stream):
         async with stream:
-            data = b""
-            while True:
-                try:
-                    while b"\r\n\r\n" not in data:
-                        data += await stream.receive()
-                except (anyio.EndOfStream, anyio.BrokenResourceError):
-                    return
-                line, _, data = data.partition(b"\r\n")
-                data = data.partition(b"\r\n\r\n")[2]
+            async for head in heads(stream):
+                line = head.partition(b"\r\n")[0]
                 self.asked.append(line.decode())
                 obj = int(line.split(b"/")[3], 16) if line.startswith(b"GET /x/") else 0
                 for part in self.answers.get(obj, [WHOLE]):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -14,6 +14,7 @@
 from quartzrouter.plan.load import load
 from quartzrouter.site.logs import logger
 from quartzrouter.site.serve import Planned
+from quartzrouter.standin.loopback import heads
 from standins import WHOLE, World, free_port
 
 SLOW = [0.15, WHOLE]
@@ -49,14 +50,7 @@
     def at(self, name):
         async def answer(stream):
             async with stream:
-                data = b""
-                while True:
-                    try:
-                        while b"\r\n\r\n" not in data:
-                            data += await stream.receive()
-                    except (anyio.EndOfStream, anyio.BrokenResourceError):
-                        return
-                    head, _, data = data.partition(b"\r\n\r\n")
+                async for head in heads(stream):
                     self.where.append(name)
                     self.heads.append(head.decode())
                     await anyio.sleep(self.delay)
