A req refused behind its limits leaves nothing in the plan in force

Cause: a req admitted under a plan and then refused, its id in use or the router stopping, stayed in where and rulings for good: nothing but a Router's end of it takes them out, and no Router had heard of it. Change: forget() drops both with its counts; the keys that a policy says in place of a vhost stand in one place.

--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -27,7 +27,7 @@
     Wait,
 )
 from quartzrouter.plan.matcher import Matcher
-from quartzrouter.plan.model import Plan, Pool, belongs
+from quartzrouter.plan.model import OF_VHOST, Plan, Pool, belongs
 from quartzrouter.plan.sets import Asked
 
 MS = 1_000
@@ -103,10 +103,7 @@
         for route in self.plan.routes:
             if route.policy:
                 policy, base = self.plan.policies[route.policy], self.plan.vhosts[route.vhost]
-                told = {
-                    key: getattr(policy, key)
-                    for key in ("fresh_for", "grace_for", "old_share", "first_byte_target", "value")
-                }
+                told = {key: getattr(policy, key) for key in OF_VHOST}
                 changes = {key: value for key, value in told.items() if value is not None}
                 found[vhost_name(route)] = replace(base, name=vhost_name(route), **changes)
         return found
@@ -179,6 +176,12 @@
         """The req has had its final answer."""
         self.limits.release(req_id)
 
+    def forget(self, req_id: int) -> None:
+        """The req was admitted and refused for another reason before any Router heard of it."""
+        self.release(req_id)
+        self.where.pop(req_id, None)
+        self.rulings.pop(req_id, None)
+
     def come_back(self, ruling: Ruling, time: int) -> int:
         """The time that a denial names: the policy's or the limit's, within what may be named."""
         return min(ruling.policy.come_back or time, self.arguments["permits"].longest_wait)
--- a/quartzrouter/plan/diff.py
+++ b/quartzrouter/plan/diff.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from quartzrouter.plan.matcher import Matcher
-from quartzrouter.plan.model import Plan, Policy, Pool, Route
+from quartzrouter.plan.model import OF_VHOST, Plan, Policy, Pool, Route
 from quartzrouter.plan.sets import Asked, Box, rest
 from quartzrouter.plan.shadows import Near
 
@@ -63,7 +63,7 @@
         plan = self.plan
         policy = asdict(plan.policies[route.policy]) if route.policy else asdict(Policy())
         vhost = {k: getattr(plan.vhosts[route.vhost], k) for k in plan.vhosts[route.vhost].__slots__}
-        for key in ("fresh_for", "grace_for", "old_share", "first_byte_target", "value"):
+        for key in OF_VHOST:
             if policy[key] is not None:
                 vhost[key] = policy.pop(key)
             else:
--- a/quartzrouter/plan/model.py
+++ b/quartzrouter/plan/model.py
@@ -8,6 +8,10 @@
 from quartzrouter.plan.sets import Box
 
 
+# what a policy says in place of the vhost
+OF_VHOST = ("fresh_for", "grace_for", "old_share", "first_byte_target", "value")
+
+
 @dataclass(frozen=True, slots=True)
 class Policy:
     """What a route changes of its vhost; None: as the vhost has it."""
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -39,7 +39,7 @@
             return
         super()._came(ticket, call, now)
         if ticket not in self.hands:  # its id is in use, or nothing is taken any more
-            self.force.release(ticket)
+            self.force.forget(ticket)
 
     def _req(self, ticket: int, call: Call) -> Req:
         return Req(
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -305,3 +305,19 @@
 
     site.play_site(scene)
     assert "nothing changes: the home store 'north' is gone" in capsys.readouterr().err
+
+
+def test_a_req_refused_behind_its_limits_leaves_nothing(site):
+    site.delay = 0.2
+
+    async def scene(connect):
+        client = await connect()
+        await client.begin(1, path="/a")
+        await client.begin(2, path="/b", HTTP_X_CORRELATION_ID=f"{1:016x}")
+        assert status(await client.end()) == "409"
+        assert len(site.service.force.where) == 1
+        assert status(await client.end()) == "200"
+
+    site.play_site(scene)
+    force = site.service.force
+    assert not force.where and not force.rulings and not force.limits.held
