--- /dev/null
+++ b/quartzrouter/cli/kinds.py
@@ -0,0 +1,37 @@
+"""Kinds of arguments that several commands take: an address, a duration."""
+
+import click
+
+
+class Address(click.ParamType):
+    name = "address"
+
+    def convert(self, value, param, ctx) -> tuple[str, int]:
+        if isinstance(value, tuple):
+            return value
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdecimal() or not 0 < int(port) < 1 << 16:
+            self.fail(f"{value!r} is no address and port, as 127.0.0.1:7700", param, ctx)
+        return host.strip("[]"), int(port)
+
+
+class Time(click.ParamType):
+    """A duration with its unit, as in plans; gives us."""
+
+    name = "duration"
+
+    def convert(self, value, param, ctx) -> int:
+        from quartzrouter.plan.quantity import Duration, Wrong, quantity
+
+        if isinstance(value, int):
+            return value
+        try:
+            found = quantity(value)
+        except Wrong as error:
+            self.fail(str(error), param, ctx)
+        if not isinstance(found, Duration):
+            self.fail(f"{value!r} is no duration, as 300ms", param, ctx)
+        return found.us
+
+
+ADDRESS, TIME = Address(), Time()
--- a/quartzrouter/cli/main.py
+++ b/quartzrouter/cli/main.py
@@ -5,7 +5,9 @@
 import click
 
 from quartzrouter import __version__
+from quartzrouter.cli.ledger import ledger
 from quartzrouter.cli.plan import plan
+from quartzrouter.cli.purge import purge
 
 HELP = {"help_option_names": ["-h", "--help"], "max_content_width": 100}
 
@@ -71,6 +73,8 @@
 
 
 cli.add_command(plan)
+cli.add_command(ledger)
+cli.add_command(purge)
 
 
 def main() -> None:
--- /dev/null
+++ b/quartzrouter/cli/purge.py
@@ -0,0 +1,274 @@
+"""`quartzrouter purge ...`: send purges, see how far they have come, bring them to caches."""
+
+import json
+import sys
+from typing import TYPE_CHECKING
+
+import click
+
+from quartzrouter.cli.kinds import ADDRESS, TIME
+
+if TYPE_CHECKING:
+    from quartzrouter.purges import words
+
+MANY = 100  # purges sent, from which progress is shown
+LOOK_EVERY = 0.02  # s between questions whether a purge is complete
+LEDGERS = click.option(
+    "--ledger", "ledgers", type=ADDRESS, multiple=True, default=("127.0.0.1:7700",), show_default=True,
+    help="Where a ledger listens; may be repeated.",
+)  # fmt: skip
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+
+
+@click.group()
+def purge() -> None:
+    """Purge objects, tags and patterns at the whole fleet."""
+
+
+@purge.command(
+    epilog='Example: quartzrouter purge send --tag rose --wait 5s  |  purge send --pattern "/photos/rose/**"'
+)
+@LEDGERS
+@click.option("--object", "objects", multiple=True, help="An object, as routes name it; may be repeated.")
+@click.option("--tag", "tags", multiple=True, help="All that carry a tag; may be repeated.")
+@click.option("--pattern", "patterns", multiple=True, help="All whose [HOST]/PATH matches; may be repeated.")
+@click.option(
+    "--all", "whole", is_flag=True, help="All of the vhost and store; of everything, if neither is given."
+)
+@click.option("--vhost", default="", help="Of this vhost only.")
+@click.option("--store", default="", help="In caches at this store only.")
+@click.option("--key", default="", help="By which the same purge sent twice is one; drawn, if not given.")
+@click.option(
+    "--from", "file", type=click.File(), help="One purge a line: object, tag or pattern, and its value."
+)
+@click.option("--wait", type=TIME, help="Wait until it is complete, for at most this long.")
+@AS_JSON
+def send(ledgers, objects, tags, patterns, whole, vhost, store, key, file, wait, as_json) -> None:
+    """Send purges; exit with 1 if one is refused, with 2 if --wait runs out."""
+    import secrets
+
+    from quartzrouter.purges.words import Refused, Send
+
+    sends = [
+        Send(kind, tuple(values), vhost, store, key and f"{key}-{kind}")
+        for kind, values in (("object", objects), ("tag", tags), ("pattern", patterns))
+        if values
+    ]
+    sends += [Send("all", (), vhost, store, key and f"{key}-all")] if whole else []
+    for at, line in enumerate(file or (), 1):
+        kind, _, value = line.strip().partition(" ")
+        if kind not in ("object", "tag", "pattern") or not value.strip():
+            raise click.UsageError(f"{file.name}:{at}: no purge: write object, tag or pattern, and its value")
+        sends.append(Send(kind, tuple(value.split()), vhost, store, key and f"{key}-{at}"))
+    if not sends:
+        raise click.UsageError("nothing to purge: give --object, --tag, --pattern, --all or --from")
+    for each in sends:
+        each.key = each.key or secrets.token_hex(8)  # asked again, it is still one purge
+    answers = _run(_send, ledgers, sends)
+    refused = [answer for answer in answers if isinstance(answer, Refused)]
+    for answer in refused:
+        click.echo(f"refused: {answer.place}: {answer.reason}; {answer.remedy}", err=True)
+    taken = [answer for answer in answers if not isinstance(answer, Refused)]
+    if as_json:
+        click.echo(
+            json.dumps([{"number": t.number, "promise_us": t.promise, "again": t.again} for t in taken])
+        )
+    elif len(taken) > MANY:
+        click.echo(f"purges {taken[0].number} to {taken[-1].number} are taken")
+    else:
+        for answer in taken:
+            again = ", as it had been before" if answer.again else ""
+            click.echo(
+                f"purge {answer.number} is taken{again}; promised within {answer.promise / 1000:.0f} ms"
+            )
+    complete = _run(_complete, ledgers, taken[-1].number, wait) if wait and taken else None
+    if complete is not None:
+        _show(complete, as_json)
+    sys.exit(1 if refused else 2 if complete is not None and not complete.complete else 0)
+
+
+async def _send(ledgers, sends: "list[words.Send]") -> list:
+    from quartzrouter.ledger.wire import Client
+
+    with click.progressbar(
+        length=len(sends), label="sending", file=sys.stderr, hidden=len(sends) < MANY
+    ) as bar:
+        return await Client(ledgers).ask_all(sends, bar.update)
+
+
+async def _complete(ledgers, number: int, wait: int) -> "words.Status":
+    import anyio
+
+    from quartzrouter.ledger.wire import Client
+    from quartzrouter.purges.words import AskStatus
+
+    client, until = Client(ledgers), anyio.current_time() + wait / 1e6
+    while True:
+        told = await client.ask(AskStatus(number))
+        if getattr(told, "complete", True) or anyio.current_time() >= until:
+            return told
+        await anyio.sleep(LOOK_EVERY)
+
+
+@purge.command(epilog="Example: quartzrouter purge status 42")
+@click.argument("number", type=int, default=0)
+@LEDGERS
+@AS_JSON
+def status(number: int, ledgers, as_json: bool) -> None:
+    """Say how far a purge has come, the last where none is named; exit with 1 if it isn't complete."""
+    from quartzrouter.purges.words import AskStatus
+
+    told = _run(_ask, ledgers, AskStatus(number))
+    _show(told, as_json)
+    sys.exit(0 if told.complete else 1)
+
+
+def _show(told: "words.Status", as_json: bool) -> None:
+    import msgspec
+
+    from quartzrouter.purges.words import Refused
+
+    if isinstance(told, Refused):
+        click.echo(f"refused: {told.place}: {told.reason}; {told.remedy}", err=True)
+        sys.exit(1)
+    if as_json:
+        click.echo(json.dumps(msgspec.to_builtins(told)))
+        return
+    if not told.number:
+        click.echo("no purge has been taken yet")
+        return
+    promised = f"{told.promise / 1000:.0f} ms promised"
+    if told.complete:
+        took = (
+            f"after {told.took / 1000:.0f} ms, {promised}" if told.took else "before the ledger's last start"
+        )
+        click.echo(f"purge {told.number}, {told.what}: complete {took}")
+    else:
+        missing = ", ".join(told.missing) or "the ledger's own first lease"
+        click.echo(f"purge {told.number}, {told.what}: waits for {missing}; {promised}")
+    if told.delays.get("purges"):
+        figures = ", ".join(f"{k} {told.delays[k] / 1000:.1f} ms" for k in ("p50", "p99", "highest"))
+        click.echo(f"{told.delays['purges']} purges since its start: {figures}; {told.delays['missed']} late")
+
+
+@purge.command(epilog="Example: quartzrouter purge members")
+@LEDGERS
+@AS_JSON
+def members(ledgers, as_json: bool) -> None:
+    """List routers and caches, and how far each has come."""
+    import msgspec
+
+    from quartzrouter.purges.words import AskMembers
+
+    told = _run(_ask, ledgers, AskMembers())
+    if as_json:
+        click.echo(json.dumps(msgspec.to_builtins(told)))
+        return
+    click.echo(f"epoch {told.epoch}, {told.head} purges")
+    for member in told.members:
+        state = "away" if member.away else "live" if member.live else "silent"
+        behind = told.head - member.held
+        click.echo(
+            f"{member.name:24} {member.kind:8} {state:7} at {member.held:<10} "
+            f"{f'{behind} behind' if behind else 'caught up':14} heard {member.heard / 1000:.0f} ms ago"
+        )
+
+
+@purge.command(epilog="Example: quartzrouter purge follow --after 0 | head")
+@LEDGERS
+@click.option("--after", type=int, help="From behind this number; from now on, if not given.")
+def follow(ledgers, after: int | None) -> None:
+    """Print purges as they are taken, one JSON object a line, until interrupted."""
+    _run(_follow, ledgers, after)
+
+
+async def _follow(ledgers, after: int | None) -> None:
+    import secrets
+
+    import anyio
+    import msgspec
+
+    from quartzrouter.ledger.link import Link, Linked, Said
+    from quartzrouter.net.report import Report
+    from quartzrouter.net.serve import clock
+    from quartzrouter.purges.follower import Apply, End, Follower, Say
+    from quartzrouter.purges.lease import Lease
+
+    held = after
+    if held is None:
+        held = (await _ask(ledgers, _status())).head
+    token = secrets.token_hex(4)
+    follower = Follower(f"watcher-{token}", "watcher", token, Lease(1), held)
+
+    def feed(event: Linked | Said) -> None:
+        if isinstance(event, Linked):
+            link.tell(follower.begin(clock()))
+            return
+        for given in follower.take(event.said, clock()):
+            match given:
+                case Apply(purges):
+                    for each in purges:
+                        click.echo(msgspec.json.encode(each).decode())
+                    sys.stdout.flush()
+                case Say(said):
+                    link.tell(said)
+                case End(reason, come_back):
+                    link.hang(reason, come_back)
+
+    link = Link(ledgers, 10_000_000, feed, Report("follow", clock))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+
+
+def _status():
+    from quartzrouter.purges.words import AskStatus
+
+    return AskStatus()
+
+
+@purge.command(epilog="Example: quartzrouter purge deliver main.plan")
+@click.argument("path", metavar="PLAN")
+@click.option("--rate", type=float, default=500.0, show_default=True, help="Purges a second to one cache.")
+@click.option("--only", multiple=True, help="These caches only; may be repeated.")
+def deliver(path: str, rate: float, only: tuple[str, ...]) -> None:
+    """Bring purges to the caches that a plan lists, by HTTP PURGE, until SIGTERM."""
+    import anyio
+
+    from quartzrouter.cli.plan import checked
+    from quartzrouter.ledger.deliver import deliver as run
+    from quartzrouter.net.serve import LOOP, clock
+    from quartzrouter.site.logs import Structured, logger
+    from quartzrouter.site.purges import address
+
+    made = checked(path)
+    if not made.purges:
+        raise click.UsageError(f"{path} names no ledger: give it `purges`")
+    caches = {
+        name: address(told["address"]) for name, told in made.caches.items() if told["tier"] != "origin"
+    }
+    if unknown := set(only) - set(caches):
+        raise click.UsageError(f"there is no cache {sorted(unknown)[0]!r} in {path}")
+    caches = {name: at for name, at in caches.items() if not only or name in only}
+    ledgers = [address(at) for at in made.purges["ledgers"]]
+    report = Structured("courier", clock, logger())
+    anyio.run(run, caches, ledgers, made.purges["grace"], report, rate, backend_options=LOOP)
+
+
+async def _ask(ledgers, said):
+    from quartzrouter.ledger.wire import Client
+
+    return await Client(ledgers).ask(said)
+
+
+def _run(what, *arguments):
+    import anyio
+
+    from quartzrouter.ledger.wire import Unreachable
+
+    try:
+        return anyio.run(what, *arguments)
+    except Unreachable as error:
+        click.echo(f"no ledger answers: {error}; see that it runs, or name another with --ledger", err=True)
+        sys.exit(1)
+    except KeyboardInterrupt:
+        sys.exit(0)
--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -11,7 +11,7 @@
 from quartzrouter.control import Histogram, Purges, Router
 from quartzrouter.force.limits import Denied, Limits
 from quartzrouter.force.pools import Pools
-from quartzrouter.force.ruling import Ruling, keys, rule, vhost_name
+from quartzrouter.force.ruling import Ruling, keys, marked, rule, vhost_name
 from quartzrouter.interface import (
     Answer,
     ColdStart,
@@ -29,6 +29,7 @@
 from quartzrouter.plan.matcher import Matcher
 from quartzrouter.plan.model import OF_VHOST, Plan, Pool, belongs
 from quartzrouter.plan.sets import Asked
+from quartzrouter.purges.fleet import Copy, Fleet
 
 MS = 1_000
 LOOK_EVERY = 50 * MS  # us between counts of a pool's caches: a cache that fails is out within 50 ms anyway
@@ -68,10 +69,11 @@
     """Speaks like a Router to the host of the decisions.
 
     :param arguments: those of a Router, for the deployment as a whole.
+    :param fleet: the fleet's purges, where there is a ledger of them.
     """
 
-    def __init__(self, plan: Plan, arguments: Mapping[str, Any]):
-        self.arguments = dict(arguments)
+    def __init__(self, plan: Plan, arguments: Mapping[str, Any], fleet: Fleet | None = None):
+        self.arguments, self.fleet = dict(arguments), fleet
         self.plan, self.matcher = plan, Matcher(plan.routes)
         self.limits = Limits(plan.limits)
         self.pools = Pools(plan.pools, plan.splits)
@@ -195,10 +197,12 @@
         self.budgets[ruling.route.policy] = min(BUDGET_MOST, saved + policy.budget)
         return (policy.dispatches or 0) if saved >= 1 else 1
 
-    def _told(self, req_id: int, answer: Answer | None, further: bool) -> Answer | None:
+    def _told(self, req_id: int, answer: Answer | None, further: bool, now: int) -> Answer | None:
         ruling = self.rulings[req_id]
         policy = ruling.policy
         if isinstance(answer, Dispatch):
+            if self.fleet and not ruling.vhost.never_kept:
+                answer = replace(answer, oldest=self._oldest(ruling, answer, now))
             if further and policy.budget is not None and ruling.route.policy:
                 saved = self.budgets.get(ruling.route.policy, BUDGET_MOST)
                 self.budgets[ruling.route.policy] = max(0.0, saved - 1)
@@ -208,6 +212,29 @@
             return replace(answer, come_back=self.come_back(ruling, answer.come_back))
         return answer
 
+    def _oldest(self, ruling: Ruling, answer: Dispatch, now: int) -> int:
+        """How old a copy may be by the fleet's purges as well."""
+        usual = answer.oldest or ruling.vhost.fresh_for
+        bound = self.fleet.oldest(
+            marked(ruling), self._store(answer.be), (answer.be, answer.source), usual, now
+        )
+        return answer.oldest if bound == usual else bound
+
+    def bound_now(self, ruling: Ruling, answer: Dispatch, now: int) -> bool:
+        """Whether a dispatch would now be decided with a lower age."""
+        bound = self._oldest(ruling, answer, now)
+        return bool(bound) and (not answer.oldest or bound < answer.oldest)
+
+    def _store(self, name: str) -> str:
+        """Where a cache stands; one that is gone may have stood anywhere."""
+        return self.lines[name].location if name in self.lines else "*"
+
+    def good(self, ruling: Ruling, answer: Dispatch, copy: Copy | None, written: int, now: int) -> bool:
+        """Whether a copy that came may be passed on, by the fleet's purges."""
+        if self.fleet is None or ruling.vhost.never_kept or copy is None:
+            return True
+        return self.fleet.good(marked(ruling), self._store(answer.be), copy, written, now)
+
     def _done(self, req_id: int) -> None:
         """Forgets a req that its Router has ended."""
         seat = self.where[req_id]
@@ -220,7 +247,7 @@
     # -- as a Router ---------------------------------------------------------------------------------------
 
     def route(self, req: Req, now: int) -> Answer | None:
-        answer = self._told(req.id, self.where[req.id].router.route(req, now), False)
+        answer = self._told(req.id, self.where[req.id].router.route(req, now), False, now)
         self._done(req.id)
         return answer
 
@@ -228,7 +255,7 @@
         seat = self.where.get(req_id)
         if seat is None:
             return None
-        answer = self._told(req_id, seat.router.after(req_id, outcome, now), True)
+        answer = self._told(req_id, seat.router.after(req_id, outcome, now), True, now)
         self._done(req_id)
         return answer
 
--- a/quartzrouter/force/ruling.py
+++ b/quartzrouter/force/ruling.py
@@ -9,6 +9,7 @@
 from quartzrouter.plan.model import Plan, Policy, Route
 from quartzrouter.plan.patterns import TOKEN
 from quartzrouter.plan.sets import Asked
+from quartzrouter.purges import marks
 
 GROUPS = 256
 NOTHING = Policy()
@@ -73,6 +74,12 @@
     return [Key(name, of[plan.limits[name].per]) for name in ruling.route.limits]
 
 
+def marked(ruling: Ruling) -> marks.Asked:
+    """What marks of purges look at."""
+    host, slash, path = ruling.path.partition("/")
+    return marks.Asked(ruling.vhost.name, ruling.obj.lower(), host, slash + path)
+
+
 def vhost_name(route: Route) -> str:
     """By which the decisions know a vhost as a policy changes it."""
     return f"{route.vhost}@{route.policy}" if route.policy else route.vhost
--- /dev/null
+++ b/quartzrouter/ledger/deliver.py
@@ -0,0 +1,198 @@
+"""The process that brings purges to caches: a member of the ledger for each, and HTTP PURGE to it."""
+
+import secrets
+import signal
+from collections.abc import Mapping, Sequence
+
+import anyio
+import h11
+
+from quartzrouter.ledger.link import Link, Linked, Said
+from quartzrouter.ledger.serve import clock
+from quartzrouter.net.progress import LOST
+from quartzrouter.net.report import Report
+from quartzrouter.purges.courier import ASK_EVERY, TIMEOUT, Box, Delivery
+from quartzrouter.purges.follower import Apply, End, Follower, Say
+from quartzrouter.purges.lease import Lease, lease
+
+CONNECTIONS = 2  # to one cache: purges on their way share them
+PURGED_TO = b"x-purged-to"
+READ = 1 << 14  # bytes
+
+
+class Failed(Exception):
+    """The cache did not take it."""
+
+
+class Line:
+    """One connection to a cache, one req at a time."""
+
+    def __init__(self, address: tuple[str, int]):
+        self.address = address
+        self.stream: anyio.abc.ByteStream | None = None
+        self.lock = anyio.Lock()
+
+    async def ask(self, method: str, target: str, fields: Sequence[tuple[str, str]]) -> int:
+        """What the cache says it holds up to; raises Failed."""
+        async with self.lock:
+            try:
+                with anyio.fail_after(TIMEOUT / 1e6):
+                    return await self._ask(method, target, fields)
+            except (*LOST, TimeoutError, h11.RemoteProtocolError, ValueError) as error:
+                await self.close()
+                raise Failed(
+                    f"{self.address[0]}:{self.address[1]}: {error or type(error).__name__}"
+                ) from None
+
+    async def _ask(self, method: str, target: str, fields: Sequence[tuple[str, str]]) -> int:
+        if self.stream is None:
+            self.stream = await anyio.connect_tcp(*self.address)
+            self.http = h11.Connection(h11.CLIENT)
+        head = [("Host", f"{self.address[0]}:{self.address[1]}"), *fields]
+        await self.stream.send(self.http.send(h11.Request(method=method, target=target, headers=head)))
+        await self.stream.send(self.http.send(h11.EndOfMessage()) or b"")
+        held, status = 0, 0
+        while not isinstance(event := self.http.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                try:
+                    self.http.receive_data(await self.stream.receive(READ))
+                except anyio.EndOfStream:
+                    self.http.receive_data(b"")
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                held = int(dict(event.headers).get(PURGED_TO, b"0"))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ValueError("closed without an answer")
+        if status != 200:
+            raise ValueError(f"it answered {status}")
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+        else:
+            await self.close()
+        return held
+
+    async def close(self) -> None:
+        if self.stream is not None:
+            stream, self.stream = self.stream, None
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+
+class Courier:
+    """Brings purges to one cache, and tells the ledger how far that has come.
+
+    :param rate: purges a second.
+    """
+
+    def __init__(
+        self, name: str, address: tuple[str, int], ledgers: Sequence[tuple[str, int]], grace: int,
+        report: Report, rate: float,
+    ):  # fmt: skip
+        self.name, self.report = name, report
+        self.box = Box(name, rate)
+        self.lines = [Line(address) for _ in range(CONNECTIONS)]
+        self.follower = Follower(name, "cache", secrets.token_hex(8), Lease(lease(grace)), acks=False)
+        self.link = Link(ledgers, 4 * lease(grace), self._feed, report)
+        self.wake = anyio.Event()
+        self.turn = 0
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as self.tasks:
+            await self._ask()
+            self.tasks.start_soon(self.link.run)
+            self.tasks.start_soon(self._look)
+            while True:
+                now = clock()
+                for delivery in self.box.next(now):
+                    self.tasks.start_soon(self._deliver, delivery)
+                self.wake = anyio.Event()
+                with anyio.move_on_after((self.box.due(now) - now) / 1e6):
+                    await self.wake.wait()
+
+    def _feed(self, event: Linked | Said) -> None:
+        now = clock()
+        if isinstance(event, Linked):
+            self.link.tell(self.follower.begin(now))
+            return
+        for given in self.follower.take(event.said, now):
+            match given:
+                case Apply(purges, offset, floor, whole):
+                    if whole and floor:
+                        self.box.floor(purges[0].number - 1 if purges else self.follower.held, floor)
+                    self.box.heard([purge for purge in purges if purge.number > self.box.reached], offset)
+                    self.wake.set()
+                case End(reason, come_back):
+                    self.link.hang(f"{self.name}: {reason}", come_back)
+                case Say(said):
+                    self.link.tell(said)
+        if self.follower.welcomed:
+            self._tell(now)
+
+    def _tell(self, now: int) -> None:
+        """A cache that doesn't answer is away: nobody waits for it, and nobody trusts it."""
+        self.link.tell(self.follower.ack(self.box.reached, now, away=not self.box.up).said)
+
+    async def _look(self) -> None:
+        while True:
+            await anyio.sleep(ASK_EVERY / 1e6)
+            if not self.box.out and clock() >= self.box.next_at:
+                await self._ask()
+
+    async def _ask(self) -> None:
+        was = self.box.up
+        try:
+            held = await self.lines[0].ask("GET", "/purged", ())
+        except Failed as error:
+            if was:
+                self.report.say("cache", f"{self.name}: {error}; away until it answers")
+            self.box.lost(clock())
+        else:
+            if not was:
+                self.report.say("cache", f"{self.name} answers, and has purged up to {held}")
+            if self.box.up and held == self.box.reached:
+                return
+            if not self.box.stands(held, clock()) or self.follower.held < held or not was:
+                self.follower.held = held  # all behind it is heard anew
+                self.box.pending.clear()
+                self.link.hang(f"{self.name}: heard anew from {held}", 0)
+        if self.follower.welcomed:
+            self._tell(clock())
+        self.wake.set()
+
+    async def _deliver(self, delivery: Delivery) -> None:
+        purge = delivery.purge
+        self.turn += 1
+        fields = [
+            ("X-Purge-Number", str(purge.number)),
+            ("X-Purge-Kind", purge.kind),
+            ("X-Purge-Values", " ".join(purge.values)),
+            ("X-Purge-Older-Ms", str(delivery.age // 1000)),
+            ("X-Purge-Done", str(self.box.reached)),
+        ]
+        fields += [("X-Purge-Vhost", purge.vhost)] if purge.vhost else []
+        fields += [("X-Purge-Store", purge.store)] if purge.store else []
+        try:
+            await self.lines[self.turn % CONNECTIONS].ask("PURGE", "/", fields)
+        except Failed as error:
+            self.report.say("cache", f"{self.name}: purge {purge.number}: {error}")
+            self.box.ended(purge.number, False, clock())
+        else:
+            self.box.ended(purge.number, True, clock())
+        if self.follower.welcomed:
+            self._tell(clock())
+        self.wake.set()
+
+
+async def deliver(
+    caches: Mapping[str, tuple[str, int]], ledgers: Sequence[tuple[str, int]], grace: int, report: Report,
+    rate: float,
+) -> None:  # fmt: skip
+    """Brings purges to all caches until SIGTERM."""
+    async with anyio.create_task_group() as tasks:
+        for name, address in caches.items():
+            tasks.start_soon(Courier(name, address, ledgers, grace, report, rate).run)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            async for number in received:
+                report.say("process", f"{number.name}: stopping")
+                tasks.cancel_scope.cancel()
+                return
--- /dev/null
+++ b/quartzrouter/ledger/link.py
@@ -0,0 +1,106 @@
+"""A member's connection to the ledger: lines in as events, words out as asked for; it decides nothing."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+import anyio
+
+from quartzrouter.ledger.wire import CONNECT_WITHIN, lines
+from quartzrouter.net.progress import LOST
+from quartzrouter.net.report import Report
+from quartzrouter.purges import words
+
+PAUSE, PAUSE_MOST = 0.02, 1.0  # s until it connects anew at first, and at most
+
+
+class Linked(NamedTuple):
+    """A connection to a ledger is there."""
+
+
+class Said(NamedTuple):
+    """What the ledger says."""
+
+    said: words.FromLedger
+
+
+class Tell(NamedTuple):
+    """Effect: say this to the ledger."""
+
+    said: words.ToLedger
+
+
+class Hang(NamedTuple):
+    """Effect: close the connection, and come back after a while."""
+
+    reason: str
+    come_back: int  # us
+
+
+class Link:
+    """:param addresses: of ledgers, tried in turn.
+    :param silent: us without a word after which the connection is taken for broken.
+    """
+
+    def __init__(
+        self, addresses: Sequence[tuple[str, int]], silent: int, feed: Callable[[Linked | Said], None],
+        report: Report,
+    ):  # fmt: skip
+        self.addresses, self.silent, self.feed, self.report = list(addresses), silent / 1e6, feed, report
+        self.out: list[bytes] = []
+        self.wake = anyio.Event()
+        self.scope: anyio.CancelScope | None = None
+        self.pause = PAUSE
+
+    def tell(self, said: words.ToLedger) -> None:
+        self.out.append(words.line(said))
+        self.wake.set()
+
+    def hang(self, reason: str, come_back: int) -> None:
+        self.report.say("ledger", reason)
+        self.pause = max(self.pause, come_back / 1e6)
+        if self.scope:
+            self.scope.cancel()
+
+    async def run(self) -> None:
+        """Follows ledgers for as long as it is left to run."""
+        while True:
+            host, port = self.addresses[0]
+            try:
+                with anyio.CancelScope() as self.scope:
+                    await self._follow(host, port)
+            except* (*LOST, TimeoutError, words.Unreadable) as group:
+                error = group.exceptions[0]
+                while isinstance(error, BaseExceptionGroup):
+                    error = error.exceptions[0]
+                why = str(error) or type(error).__name__
+                self.report.say("ledger", f"{host}:{port}: {why}; connecting anew")
+            self.addresses.append(self.addresses.pop(0))
+            await anyio.sleep(self.pause * random.uniform(0.5, 1.0))
+            self.pause = min(PAUSE_MOST, self.pause * 2)
+
+    async def _follow(self, host: str, port: int) -> None:
+        with anyio.fail_after(CONNECT_WITHIN):
+            stream = await anyio.connect_tcp(host, port)
+        self.out.clear()
+        async with stream, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._write, stream)
+            self.feed(Linked())
+            heard = lines(stream)
+            while True:
+                with anyio.fail_after(self.silent):
+                    line = await anext(heard, None)
+                if line is None:
+                    raise anyio.EndOfStream("the ledger has closed the connection")
+                said = words.from_ledger(line)
+                if isinstance(said, words.Beat):
+                    self.pause = PAUSE
+                self.feed(Said(said))
+
+    async def _write(self, stream: anyio.abc.ByteStream) -> None:
+        while True:
+            while self.out:
+                data, self.out = b"".join(self.out), []
+                await stream.send(data)
+            self.wake = anyio.Event()
+            await self.wake.wait()
--- /dev/null
+++ b/quartzrouter/ledger/serve.py
@@ -0,0 +1,365 @@
+"""The ledger's process: takes purges, makes them durable, and hands them to its members in their order."""
+
+import signal
+import time
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+
+from quartzrouter.ledger.disk import Disk, RealDisk
+from quartzrouter.ledger.files import Damaged, Refusing
+from quartzrouter.ledger.log import Fenced, Log
+from quartzrouter.ledger.wire import Client, Unreachable, lines
+from quartzrouter.net.progress import LOST
+from quartzrouter.net.report import Report
+from quartzrouter.purges import words
+from quartzrouter.purges.book import Admitted, Book, Member
+from quartzrouter.purges.lease import beat_every, lease
+from quartzrouter.purges.words import PAGE, AskMembers, AskStatus, Beat, Caught, Hello, Refused, Send, Taken
+
+BATCH = 4_096  # purges made durable at once: 1 MB
+COMPACT_AFTER = 50_000  # purges since the last snapshot, 10 MB
+ANSWERS_MOST = 1_024  # of one client on their way; beyond, nothing more is read from it
+WRITE_WITHIN = 5.0  # s: a member that takes nothing for so long is given up
+CONNECTIONS_MOST = 8_192  # routers, caches and clients
+COME_BACK = 1_000_000  # us, where the disk takes nothing
+STANDBY_MISSES = 3  # questions without an answer, each a lease long, until a standby takes over
+FENCED = 3  # exit status
+
+
+def clock() -> int:
+    """Unix time in whole microseconds."""
+    return time.time_ns() // 1000
+
+
+class Session:
+    """A member's connection."""
+
+    def __init__(self, member: Member, sent: int):
+        self.member, self.sent = member, sent
+        self.scope = anyio.CancelScope()
+        self.caught: dict[str, int] | None = None  # as last told
+
+
+class Waiter:
+    """Somebody who is told what became of a purge."""
+
+    def __init__(self) -> None:
+        self.done, self.refused = anyio.Event(), None
+
+
+class Ledger:
+    """:param grace: us within which a purge must hold at every router.
+    :param clock: us.
+    """
+
+    def __init__(
+        self, disk: Disk, grace: int, report: Report, clock: Callable[[], int] = clock,
+        compact_after: int = COMPACT_AFTER,
+    ):  # fmt: skip
+        self.clock, self.now, self.report, self.compact_after = clock, 0, report, compact_after
+        self.log = Log(disk)
+        found = self.log.found
+        self.book = Book(self.log.epoch, grace, self._time())
+        self.book.recover(found.purges, found.before, found.floor)
+        if found.cut:
+            report.say(
+                "log", f"{found.last_file}: {found.cut} bytes of a write that was cut short are passed over"
+            )
+        self.every = beat_every(grace) / 1e6
+        self.sessions: dict[str, Session] = {}
+        self.waiting: dict[int, list[Waiter]] = {}
+        self.wanted, self.news = anyio.Event(), anyio.Event()
+        self.connections = 0
+        self.fenced = False
+        self.scope = anyio.CancelScope()
+
+    def _time(self) -> int:
+        self.now = max(self.now, self.clock())  # which may be set back
+        return self.now
+
+    async def run(self, listeners: list[anyio.abc.Listener]) -> bool:
+        """Serves until it is cancelled; False where another writer has begun."""
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._commit)
+                tasks.start_soon(self._tick)
+                for listener in listeners:
+                    tasks.start_soon(listener.serve, self.serve)
+        self.log.close()
+        return not self.fenced
+
+    # -- the disk ----------------------------------------------------------------------------------------
+
+    async def _commit(self) -> None:
+        """Makes durable what was admitted, as many at once as there are."""
+        while True:
+            await self.wanted.wait()
+            self.wanted = anyio.Event()
+            while batch := self.book.after(self.book.head, BATCH):
+                try:
+                    await anyio.to_thread.run_sync(self.log.append, batch)
+                except Refusing as error:
+                    self._refuse(str(error))
+                except Fenced as error:
+                    self._fence(error)
+                    return
+                else:
+                    self.book.durable(batch[-1].number, self._time())
+                    for purge in batch:
+                        self._answer(purge.number, None)
+                    self._wake()
+            if self.log.since >= self.compact_after:
+                await self._compact()
+
+    async def _compact(self) -> None:
+        book = self.book
+        book.trim(self._time())
+        durable = book.after(book.before, book.head - book.before)
+        try:
+            await anyio.to_thread.run_sync(self.log.compact, durable, book.before, book.floor)
+        except Refusing as error:
+            self.log.since = 0  # the next try after as many more
+            self.report.say("log", f"no snapshot: {error}")
+        except Fenced as error:
+            self._fence(error)
+
+    def _refuse(self, reason: str) -> None:
+        self.report.say("log", f"purges are refused: {reason}")
+        refused = Refused("disk", reason, "make room on the ledger's disk", COME_BACK)
+        for purge in self.book.lost():
+            self._answer(purge.number, refused)
+
+    def _answer(self, number: int, refused: Refused | None) -> None:
+        for waiter in self.waiting.pop(number, ()):
+            waiter.refused = refused
+            waiter.done.set()
+
+    def _fence(self, error: Fenced) -> None:
+        self.fenced = True
+        self.report.say("log", f"{error}; this process ends")
+        self.scope.cancel()
+
+    def _wake(self) -> None:
+        self.news.set()
+        self.news = anyio.Event()
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(self.every / 2)
+            self.book.tick(self._time())
+
+    # -- connections -------------------------------------------------------------------------------------
+
+    async def serve(self, stream: anyio.abc.ByteStream) -> None:
+        if self.connections >= CONNECTIONS_MOST:
+            await anyio.aclose_forcefully(stream)
+            return
+        self.connections += 1
+        try:
+            async with stream:
+                await self._serve(stream)
+        except* (*LOST, TimeoutError):
+            pass
+        finally:
+            self.connections -= 1
+
+    async def _serve(self, stream: anyio.abc.ByteStream) -> None:
+        answers: deque = deque()
+        more, room = [anyio.Event()], [anyio.Event()]
+
+        async def write() -> None:
+            while True:
+                while answers:
+                    said = answers.popleft()
+                    room[0].set()
+                    data = words.line(await self._awaited(said))
+                    while answers and not isinstance(answers[0], tuple) and len(data) < words.LINE_MOST:
+                        data += words.line(answers.popleft())
+                    with anyio.fail_after(WRITE_WITHIN):
+                        await stream.send(data)
+                more[0] = anyio.Event()
+                await more[0].wait()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(write)
+            heard = lines(stream)
+            try:
+                async for line in heard:
+                    said = words.to_ledger(line)
+                    if isinstance(said, Hello):
+                        tasks.cancel_scope.cancel()
+                        break
+                    answers.append(self._ask(said))
+                    more[0].set()
+                    while len(answers) > ANSWERS_MOST:
+                        room[0] = anyio.Event()
+                        await room[0].wait()
+                else:
+                    while answers:
+                        await anyio.sleep(self.every / 4)
+                    tasks.cancel_scope.cancel()
+                    return
+            except words.Unreadable as error:
+                answers.append(
+                    Refused("line", str(error), "write one JSON object a line, see docs/purges.md")
+                )
+                more[0].set()
+                await anyio.sleep(self.every)
+                tasks.cancel_scope.cancel()
+                return
+        await self._member(stream, heard, said)
+
+    def _ask(self, said: words.ToLedger):
+        """The answer, or a waiter for it."""
+        match said:
+            case Send():
+                given = self.book.admit(said, self._time())
+                if not isinstance(given, Admitted):
+                    return given
+                promise = self.book.promised.get(given.purge.number, self.book.promise)
+                taken = Taken(given.purge.number, given.purge.when, promise, given.again)
+                if given.purge.number <= self.book.head:
+                    return taken
+                waiter = Waiter()
+                self.waiting.setdefault(given.purge.number, []).append(waiter)
+                self.wanted.set()
+                return waiter, taken
+            case AskStatus(number):
+                return self.book.status(number, self._time())
+            case AskMembers():
+                return self.book.told_members(self._time())
+        return Refused("line", f"{type(said).__name__} before any hello", "say hello first")
+
+    @staticmethod
+    async def _awaited(said) -> words.FromLedger:
+        if not isinstance(said, tuple):
+            return said
+        waiter, taken = said
+        await waiter.done.wait()
+        return waiter.refused or taken
+
+    # -- members -----------------------------------------------------------------------------------------
+
+    async def _member(self, stream: anyio.abc.ByteStream, heard, hello: Hello) -> None:
+        now = self._time()
+        member = self.book.hello(hello, now)
+        if isinstance(member, Refused):
+            await stream.send(words.line(member))
+            return
+        session = Session(member, hello.held)
+        if before := self.sessions.get(hello.name):
+            before.scope.cancel()
+        self.sessions[hello.name] = session
+        try:
+            with session.scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write, stream, session, hello)
+                    try:
+                        async for line in heard:
+                            self._heard(session, words.to_ledger(line))
+                    except words.Unreadable as error:
+                        self.report.say("member", f"{hello.name}: {error}")
+                    tasks.cancel_scope.cancel()
+        finally:
+            if self.sessions.get(hello.name) is session:
+                del self.sessions[hello.name]
+
+    def _heard(self, session: Session, said: words.ToLedger) -> None:
+        now = self._time()
+        if isinstance(said, words.Ack):
+            self.book.ack(session.member, said.held, said.mark, said.away, now)
+        elif isinstance(said, words.Leave):
+            self.book.leave(session.member, now)
+
+    async def _write(self, stream: anyio.abc.ByteStream, session: Session, hello: Hello) -> None:
+        async def send(*said: words.FromLedger) -> None:
+            with anyio.fail_after(WRITE_WITHIN):
+                await stream.send(b"".join(map(words.line, said)))
+
+        book, beat_at = self.book, 0.0
+        await send(words.Welcome(book.epoch, book.head, self._time(), book.lease))
+        if book.too_far(session.sent, hello.life, self._time()):
+            pages = book.snapshot(hello.life, self._time())
+            session.sent = pages[-1].head
+            for page in pages:
+                await send(page)
+        while True:
+            news = self.news
+            while session.sent < book.head:
+                page = book.after(session.sent, min(PAGE, book.head - session.sent))
+                session.sent += len(page)
+                await send(words.Purges(tuple(page)))
+            if hello.kind == "router" and session.caught != (caught := book.caught(self._time())):
+                session.caught = caught
+                await send(Caught(caught))
+            now = anyio.current_time()
+            if now >= beat_at and session.sent == book.head:
+                echo = book.echo(
+                    session.member
+                )  # first: what is echoed stands for all that was taken before it
+                try:
+                    self.log.check()
+                except Fenced as error:
+                    self._fence(error)
+                if session.sent == book.head:
+                    await send(Beat(book.epoch, book.head, echo, self._time()))
+                    beat_at = now + self.every
+            with anyio.move_on_after(max(0.0, beat_at - anyio.current_time())):
+                await news.wait()
+
+
+async def _listeners(address: tuple[str, int]) -> list[anyio.abc.Listener]:
+    listeners = await anyio.create_tcp_listener(local_host=address[0], local_port=address[1])
+    return list(listeners.listeners)
+
+
+async def _watch(primary: tuple[str, int], grace: int, report: Report) -> None:
+    """Returns once the ledger there has not answered for so long that its leases are over."""
+    client, misses, within = Client([primary], lease(grace) / 1e6), 0, lease(grace) / 1e6
+    report.say("process", f"standing by for {primary[0]}:{primary[1]}")
+    while misses < STANDBY_MISSES:
+        try:
+            await client.ask(AskMembers())
+            misses = 0
+        except Unreachable:
+            misses += 1
+        await anyio.sleep(within)
+    await client.close()
+    report.say("process", f"{primary[0]}:{primary[1]} has not answered {misses} times: taking over")
+
+
+async def serve(
+    folder: str, address: tuple[str, int], grace: int, report: Report, standby: tuple[str, int] | None = None
+) -> int:
+    """The exit status: 0 at SIGTERM, 3 where another ledger has taken over.
+
+    Raises OSError, Damaged and Refusing before anything is served.
+    """
+    status = 0
+
+    async def stop(scope: anyio.CancelScope) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            async for number in received:
+                report.say("process", f"{number.name}: stopping")
+                scope.cancel()
+                return
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stop, tasks.cancel_scope)
+        listeners = await _listeners(address)
+        if standby:
+            await _watch(standby, grace, report)
+        ledger = Ledger(RealDisk(folder), grace, report)
+        report.say(
+            "process",
+            f"epoch {ledger.book.epoch}, purges up to {ledger.book.head}, at {address[0]}:{address[1]}",
+        )
+        if not await ledger.run(listeners):
+            status = FENCED
+        tasks.cancel_scope.cancel()
+    return status
+
+
+FAULTS = (Damaged, Refusing, OSError)
--- /dev/null
+++ b/quartzrouter/ledger/wire.py
@@ -0,0 +1,100 @@
+"""Lines over a connection, each of a bounded length, and the dialogue of a client with a ledger."""
+
+from collections.abc import AsyncIterator, Callable, Sequence
+
+import anyio
+
+from quartzrouter.net.progress import LOST
+from quartzrouter.purges import words
+from quartzrouter.purges.words import LINE_MOST, Unreadable
+
+CONNECT_WITHIN = 1.0  # s
+ANSWER_WITHIN = 5.0  # s: a disk that is slow, and a ledger that takes over
+READ = 1 << 16  # bytes at once
+
+
+async def lines(stream: anyio.abc.ByteStream) -> AsyncIterator[bytes]:
+    """Each line without its end; ends with the stream.  Raises Unreadable for one that is too long."""
+    held = bytearray()
+    while True:
+        try:
+            held += await stream.receive(READ)
+        except anyio.EndOfStream:
+            return
+        *whole, rest = held.split(b"\n")
+        for line in whole:
+            yield bytes(line)
+        held = bytearray(rest)
+        if len(held) > LINE_MOST:
+            raise Unreadable(f"a line of more than {LINE_MOST} bytes")
+
+
+class Unreachable(Exception):
+    """No ledger answers at any address."""
+
+
+class Client:
+    """Asks one ledger of several, one question at a time.
+
+    :param addresses: tried in turn.
+    """
+
+    def __init__(self, addresses: Sequence[tuple[str, int]], within: float = ANSWER_WITHIN):
+        self.addresses, self.within = list(addresses), within
+        self.stream: anyio.abc.ByteStream | None = None
+        self.lines: AsyncIterator[bytes] | None = None
+
+    async def ask(self, said: words.ToLedger) -> words.FromLedger:
+        """The answer; raises Unreachable.  A purge without a key may be taken twice if it is asked again."""
+        why = "no address is named"
+        for _ in range(len(self.addresses) * 2):
+            try:
+                with anyio.fail_after(self.within):
+                    return await self._ask(said)
+            except (*LOST, TimeoutError, Unreadable) as error:
+                host, port = self.addresses[0]
+                why = f"{host}:{port}: {str(error) or type(error).__name__}"
+                await self.close()
+                self.addresses.append(self.addresses.pop(0))
+        raise Unreachable(why)
+
+    async def _ask(self, said: words.ToLedger) -> words.FromLedger:
+        await self.connect()
+        await self.stream.send(words.line(said))
+        return await self.next()
+
+    async def connect(self) -> None:
+        if self.stream is None:
+            with anyio.fail_after(CONNECT_WITHIN):
+                self.stream = await anyio.connect_tcp(*self.addresses[0])
+            self.lines = lines(self.stream)
+
+    async def next(self) -> words.FromLedger:
+        async for line in self.lines:
+            return words.from_ledger(line)
+        raise anyio.EndOfStream
+
+    async def ask_all(self, many: Sequence[words.Send], seen: Callable[[int], None] = lambda n: None) -> list:
+        """Sends purges, a page at a time without waiting for each; gives the answers in order.
+
+        All have keys, so that a page may be sent again elsewhere.  Raises Unreachable.
+        """
+        answers: list[words.FromLedger] = []
+        for at in range(0, len(many), words.PAGE):
+            page = many[at : at + words.PAGE]
+            answers.append(await self.ask(page[0]))  # which finds a ledger that answers
+            try:
+                with anyio.fail_after(self.within):
+                    await self.stream.send(b"".join(map(words.line, page[1:])))
+                    found = [await self.next() for _ in page[1:]]
+            except (*LOST, TimeoutError, Unreadable):
+                await self.close()
+                found = [await self.ask(each) for each in page[1:]]
+            answers += found
+            seen(len(page))
+        return answers
+
+    async def close(self) -> None:
+        if self.stream is not None:
+            stream, self.stream = self.stream, None
+            await anyio.aclose_forcefully(stream)
--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -6,6 +6,7 @@
 from bisect import bisect_right
 from collections.abc import Awaitable, Callable
 from functools import partial
+from typing import Any
 
 import anyio
 import h11
@@ -128,9 +129,10 @@
 
 class Backend:
     def __init__(
-        self, feed: Callable[[Event], None], most: int, room: int, idle_most: float, connect_within: float
+        self, feed: Callable[[Event], None], most: int, room: int, idle_most: float, connect_within: float,
+        copy_of: Callable[[dict[str, str]], Any] | None = None,
     ):  # fmt: skip
-        self.feed, self.most, self.room = feed, most, Room(room)
+        self.feed, self.most, self.room, self.copy_of = feed, most, Room(room), copy_of
         self.idle_most, self.connect_within = idle_most * IDLE_SHARE, connect_within
         self.pool: dict[str, list[Line]] = {}  # by the cache's id, last used last
         self.open = 0  # connections, and those that are coming up
@@ -219,7 +221,7 @@
             while not isinstance(event := await line.next(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     stage = Stage.ANSWERED
-                    head = read_head(ticket, hop, event)
+                    head = read_head(ticket, hop, event, self.copy_of)
                     self.feed(head)
                     need = ANSWER_MOST if head.length is None else head.length
                     await self.room.take(need)
@@ -299,7 +301,9 @@
     """An answer that HTTP allows and the protocol doesn't; stops at the connection."""
 
 
-def read_head(ticket: int, hop: int, response: h11.Response) -> Head:
+def read_head(
+    ticket: int, hop: int, response: h11.Response, copy_of: Callable[[dict[str, str]], Any] | None = None
+) -> Head:
     fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in response.headers}
     length, status = fields.get("content-length"), response.status_code
     if status == 200 and length is None and "chunked" not in fields.get("transfer-encoding", ""):
@@ -311,4 +315,7 @@
         raise Unreadable(f"X-Tell is {tell!r:.40}")
     told = TOLD[tell] if tell else Told.NOTHING
     never_ran = fields.get("x-no-effect") == "1"
-    return Head(ticket, hop, status, int(length) if length is not None else None, never_ran, marked, told)
+    copy = copy_of(fields) if copy_of and marked else None
+    return Head(
+        ticket, hop, status, int(length) if length is not None else None, never_ran, marked, told, copy
+    )
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -65,6 +65,7 @@
     never_ran: bool
     marked: bool  # with the tag and the time of the copy
     told: Told
+    copy: Any = None  # what else an installation of our own reads of it
 
 
 class Over(NamedTuple):
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 import anyio
 
@@ -66,7 +67,7 @@
         self.front = Front(self.feed, clients, post.memory // REQS_SHARE, self._reader(), self.report)
         self.backend = Backend(
             self.feed, post.sockets - clients - RESERVE, post.memory // HELD_SHARE,
-            post.briefing.idle_most / 1e6, post.briefing.connect_within / 1e6,
+            post.briefing.idle_most / 1e6, post.briefing.connect_within / 1e6, self._copy_of(),
         )  # fmt: skip
         self.journal = journal.Journal(post.journal, post.position, post.briefing, self.feed, self.report)
         self.flights: dict[tuple[int, int], Flight] = {}
@@ -87,6 +88,10 @@
         uniqued = {vhost.name: vhost.effect is RepeatEffect.UNIQUED for vhost in self.post.briefing.vhosts}
         return partial(call, uniqued=uniqued.get)
 
+    def _copy_of(self) -> Callable[[dict[str, str]], Any] | None:
+        """What makes more of an answer's fields than the platform's protocol does."""
+        return None
+
     def feed(self, event: Event) -> None:
         """Plays an event, and whatever its effects bring about at once."""
         self.events.append(event)
@@ -149,6 +154,12 @@
                 self.journal.move(address)
             case Exit():
                 self.tasks.start_soon(self._exit)
+            case _:
+                self._perform_more(effect)
+
+    def _perform_more(self, effect) -> None:
+        """Effects that only an installation of our own asks for."""
+        raise NotImplementedError(type(effect).__name__)
 
     async def _dispatch(self, ticket: int, hop: int, name: str, address: tuple[str, int]) -> None:
         flight, seat = self.flights[ticket, hop], self.front.seats.get(ticket)
@@ -240,6 +251,9 @@
         self.report.say("process", f"SIGHUP: journal at {post.journal[0]}:{post.journal[1]}; {change}")
         self.feed(Reload(post.journal))
 
+    def _start_more(self) -> None:
+        """Tasks of an installation of our own."""
+
     async def run(self) -> None:
         post, now = self.post, self._time()
         self.reducer.step(Tick(), now)
@@ -264,6 +278,7 @@
                 self.tasks.start_soon(self.journal.follow)
             for raw in self.listening:
                 self.tasks.start_soon(self._accept, raw)
+            self._start_more()
         self.report.say("process", "stopped")
 
 
--- a/quartzrouter/plan/build.py
+++ b/quartzrouter/plan/build.py
@@ -119,6 +119,7 @@
             {n: s for n, s in splits.items() if s},
             limits,
             tuple(r for r in routes if r),
+            self.told.get("purges"),
             self.check.places,
         )
 
--- a/quartzrouter/plan/diff.py
+++ b/quartzrouter/plan/diff.py
@@ -172,6 +172,10 @@
             now = self.new.deployment.get(key)
             if was != now:
                 yield f"deployment.{key}", str(was), str(now)
+        old, new = self.old.purges or {}, self.new.purges or {}
+        for key in {**old, **new}:
+            if old.get(key) != new.get(key):
+                yield f"purges.{key}", str(old.get(key, "none")), str(new.get(key, "none"))
         for part in ("stores", "hubs", "caches"):
             was, now = getattr(self.old, part), getattr(self.new, part)
             for name in [*was, *(n for n in now if n not in was)]:
--- a/quartzrouter/plan/model.py
+++ b/quartzrouter/plan/model.py
@@ -96,6 +96,7 @@
     splits: dict[str, Split]
     limits: dict[str, Limit]
     routes: tuple[Route, ...]
+    purges: dict[str, Any] | None = None
     places: dict[tuple[str, ...], Place] = field(default_factory=dict, compare=False)
 
     def pools_of(self, name: str) -> list[str]:
--- a/quartzrouter/plan/vocabulary.py
+++ b/quartzrouter/plan/vocabulary.py
@@ -257,6 +257,29 @@
         "group": Entry(of=Text(), doc="likewise, what is purged together"),
     },
 )
+PURGES = RecordOf(
+    word="purges of the whole fleet",
+    entries={
+        "ledgers": Entry(
+            of=ListOfKind(of=ADDRESS, least=1, one_too=True), default=REQUIRED, doc="tried in turn"
+        ),
+        "name": Entry(of=Text(test=_name), doc="the router's as a member; else its deployment's and number"),
+        "grace": Entry(
+            of=duration("20ms", "1min"), default=300_000, doc="a purge holds this long after it is taken"
+        ),
+        "life": Entry(of=duration("1s", "30d"), default=3_600_000_000, doc="a purge is marked here for it"),
+        "marks": Entry(of=whole(1_000, 10_000_000), default=100_000, doc="purges marked at most"),
+        "objects": Entry(of=whole(1, 10_000_000), default=65_536, doc="whose tags are remembered"),
+        "clock_skew": Entry(
+            of=duration(most="1h"),
+            default=1_000_000,
+            doc="origins' clocks are ahead by less, where no age is told",
+        ),
+        "file": Entry(
+            of=Text(), doc="keeps what is marked through a restart; none: the ledger tells it again"
+        ),
+    },
+)
 PLAN = RecordOf(
     word="a plan",
     entries={
@@ -264,6 +287,7 @@
         "stores": Entry(of=named(STORE, "store"), default=REQUIRED, doc="locations with caches"),
         "hubs": Entry(of=named(HUB, "hub"), default={}, doc="locations with parents"),
         "caches": Entry(of=named(CACHE, "cache"), default={}, doc="servers, where no journal tells of them"),
+        "purges": Entry(of=PURGES, doc="follows a ledger of purges; left out: no"),
         "vhosts": Entry(of=named(VHOST, "vhost"), default=REQUIRED, doc="classes of reqs"),
         "policies": Entry(of=named(POLICY, "policy"), default={}, doc="what may differ by route"),
         "pools": Entry(of=named(POOL, "pool"), default=REQUIRED, doc="caches that serve a route"),
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -1,14 +1,23 @@
-"""The reducer under a plan: limits before the decisions, their pool behind them, a new plan as one event."""
+"""The reducer under a plan: limits before the decisions, their pool behind them, a new plan as one event.
+
+Where the plan names a ledger of purges, what it says are events as well, and every copy that comes is judged.
+"""
 
 from typing import NamedTuple
 
 from quartzrouter.force.force import Force
 from quartzrouter.force.ruling import vhost_name
-from quartzrouter.interface import Req
+from quartzrouter.interface import Effect as Repeats
+from quartzrouter.interface import Ending, Req
+from quartzrouter.ledger.link import Hang, Linked, Said, Tell
 from quartzrouter.net import answer
 from quartzrouter.net.journal import Lines
-from quartzrouter.net.reducer import Call, Effect, Event, InHand, Reducer, Reply
+from quartzrouter.net.reducer import (
+    DONE, SAME, Call, Effect, Event, Going, InHand, Over, Reducer, Reply,
+)  # fmt: skip
 from quartzrouter.plan.model import Plan
+from quartzrouter.purges.follower import Apply, End, Follower, Say
+from quartzrouter.purges.words import Caught
 
 
 class NewPlan(NamedTuple):
@@ -19,17 +28,54 @@
 
 
 class PlannedReducer(Reducer):
-    def __init__(self, force: Force):
+    """:param follower: reads what a ledger of purges says, where there is one."""
+
+    def __init__(self, force: Force, follower: Follower | None = None):
         super().__init__(force)
-        self.force = force
+        self.force, self.follower = force, follower
         self.denied: dict[str, int] = {}  # reqs turned away before a dispatch, by limit
 
-    def step(self, event: Event | NewPlan, now: int) -> list[Effect]:
-        if not isinstance(event, NewPlan):
-            return super().step(event, now)
-        self.force.replace(event.plan, now)
-        self.denied = {name: n for name, n in self.denied.items() if name in event.plan.limits}
-        return super().step(event.lines or event, now)
+    def step(self, event: Event | NewPlan | Linked | Said, now: int) -> list[Effect | Tell | Hang]:
+        match event:
+            case Linked():
+                return [Tell(self.follower.begin(now))]
+            case Said(said):
+                return self._said(said, now)
+            case NewPlan(plan, lines):
+                self.force.replace(plan, now)
+                self.denied = {name: n for name, n in self.denied.items() if name in plan.limits}
+                return super().step(lines or event, now)
+        return super().step(event, now)
+
+    def _said(self, said, now: int) -> list[Tell | Hang]:
+        effects, fleet = [], self.force.fleet
+        for given in self.follower.take(said, now):
+            match given:
+                case Apply():
+                    fleet.apply(given, self.follower.held, now)
+                    self._outdated(given, now)
+                case Caught(caches):
+                    fleet.caught = caches
+                case Say(words):
+                    effects.append(Tell(words))
+                case End(reason, come_back):
+                    effects.append(Hang(reason, come_back))
+        return effects
+
+    def _outdated(self, news: Apply, now: int) -> None:
+        """Dispatches decided before a purge that are not written yet are decided anew; the rest is judged."""
+        for hand in self.hands.values() if news.purges else ():
+            if hand.going and not hand.going.ready and not hand.call.ruling.vhost.never_kept:
+                hand.going.stale |= self.force.bound_now(hand.call.ruling, hand.going.answer, now)
+
+    def _over(self, ticket: int, going: Going, event: Over, now: int) -> None:
+        call, head = self.hands[ticket].call, going.head
+        brings = event.failure is None and head.status in (DONE, SAME)
+        if brings and not self.force.good(call.ruling, going.answer, head.copy, going.since, now):
+            again = call.ruling.vhost.effect is Repeats.REPLAYABLE
+            self._end(ticket, going, Ending.UNSENT if again else Ending.CUT, now, drop=False)
+        else:
+            super()._over(ticket, going, event, now)
 
     def _came(self, ticket: int, call: Call, now: int) -> None:
         denied = self.force.admit(ticket, call.ruling, now)
--- a/quartzrouter/site/serve.py
+++ b/quartzrouter/site/serve.py
@@ -8,12 +8,14 @@
 
 from quartzrouter.briefing import Post, Section, Unusable
 from quartzrouter.force.force import Force
+from quartzrouter.ledger.link import Hang, Link, Tell
 from quartzrouter.net import serve
 from quartzrouter.net.journal import Lines, known
 from quartzrouter.net.report import Report
 from quartzrouter.plan.compile import compiled, members
 from quartzrouter.plan.load import Loaded, load
 from quartzrouter.plan.model import Plan
+from quartzrouter.site import purges
 from quartzrouter.site.asking import Asking
 from quartzrouter.site.logs import Structured
 from quartzrouter.site.reducer import NewPlan, PlannedReducer
@@ -35,8 +37,44 @@
         return Structured(self.post.name, serve.clock, self.log)
 
     def _reducer(self) -> PlannedReducer:
-        self.force = Force(self.plan, self.post.briefing.arguments)
-        return PlannedReducer(self.force)
+        self.fleet, follower = purges.joined(self.plan) or (None, None)
+        self.force = Force(self.plan, self.post.briefing.arguments, self.fleet)
+        file = self.plan.purges["file"] if self.fleet else None
+        if file and (wrong := purges.resume(file, self.fleet, follower, serve.clock())):
+            self.report.say("ledger", wrong)
+        return PlannedReducer(self.force, follower)
+
+    def _copy_of(self):
+        return purges.copy_of if self.fleet else None
+
+    def _start_more(self) -> None:
+        if self.fleet is None:
+            return
+        told = self.plan.purges
+        silent = purges.SILENT_LEASES * self.fleet.lease.length
+        self.link = Link([purges.address(at) for at in told["ledgers"]], silent, self.feed, self.report)
+        self.tasks.start_soon(self.link.run)
+        if told["file"]:
+            self.tasks.start_soon(self._save, told["file"])
+
+    async def _save(self, path: str) -> None:
+        held = self.fleet.held
+        while True:
+            await anyio.sleep(purges.SAVE_EVERY)
+            if self.fleet.held == held:
+                continue
+            held = self.fleet.held
+            try:
+                purges.save(path, self.fleet)
+            except OSError as error:
+                self.report.say("ledger", f"{path}: {error.strerror or error}; it is written again later")
+
+    def _perform_more(self, effect: Tell | Hang) -> None:
+        match effect:
+            case Tell(said):
+                self.link.tell(said)
+            case Hang(reason, come_back):
+                self.link.hang(reason, come_back)
 
     def _reader(self):
         return Asking(self.force, self.plan.deployment["home"]).call
@@ -71,6 +109,7 @@
             )
             return
         kept = [key for key, was in self.plan.deployment.items() if loaded.plan.deployment[key] != was]
+        kept += ["purges"] * (loaded.plan.purges != self.plan.purges)
         lines = None if loaded.plan.deployment["journal"] else self._lines(loaded.plan)
         self.plan = loaded.plan
         change = f"; {', '.join(kept)} kept until the next start" if kept else ""
--- /dev/null
+++ b/tests/test_purge_book.py
@@ -0,0 +1,299 @@
+"""The ledger's decisions and a member's, by hand: order, keys, leases, what is complete, what is refused."""
+
+import pytest
+
+from quartzrouter.purges.book import Admitted, Book
+from quartzrouter.purges.fleet import Copy, Fleet
+from quartzrouter.purges.follower import Apply, End, Follower, Say
+from quartzrouter.purges.lease import Lease, lease
+from quartzrouter.purges.marks import Asked
+from quartzrouter.purges.words import (
+    VALUES_MOST, Ack, Beat, Hello, Purge, Purges, Refused, Send, Snapshot, Welcome, faulty,
+)  # fmt: skip
+
+MS = 1_000
+GRACE = 300 * MS
+LEASE = lease(GRACE)
+
+
+def book(**other):
+    return Book(1, GRACE, 0, **other)
+
+
+def member(book, name, now, kind="router", held=0):
+    found = book.hello(Hello(name, kind, f"t-{name}"), now)
+    book.ack(found, held, 1, False, now)
+    return found
+
+
+def send(book, now, *values, key="", durable=True):
+    given = book.admit(Send("tag", values or ("a",), key=key), now)
+    if durable and isinstance(given, Admitted):
+        book.durable(given.purge.number, now)
+    return given
+
+
+def test_the_same_purge_sent_twice_is_one_and_another_under_its_key_is_refused():
+    b = book()
+    first = send(b, 1_000, key="k")
+    again = send(b, 9_000, key="k")
+    assert again == (first.purge, True) and b.last == 1
+    other = send(b, 9_000, "b", key="k")
+    assert isinstance(other, Refused) and "purge 1" in other.reason and other.remedy
+    assert send(b, 9_000).purge.number == 2
+
+
+def test_a_key_counts_through_a_restart_and_not_for_what_was_lost():
+    b = book()
+    kept = send(b, 1_000, key="k").purge
+    send(b, 2_000, key="gone", durable=False)
+    assert [purge.key for purge in b.lost()] == ["gone"]
+    after = book()
+    after.recover([kept], 0, 0)
+    assert send(after, 9_000, key="k").again and not send(after, 9_000, key="gone").again
+
+
+def test_times_only_grow_also_where_the_clock_is_set_back():
+    b = book()
+    whens = [send(b, now).purge.when for now in (5_000, 5_000, 1_000, 9_000)]
+    assert whens == [5_000, 5_001, 5_002, 9_000]
+
+
+def test_a_purge_is_complete_once_every_live_member_has_it():
+    b, now = book(), 10 * LEASE
+    one, two = member(b, "r1", now), member(b, "r2", now)
+    send(b, now)
+    b.ack(one, 1, 2, False, now + 1 * MS)
+    told = b.status(1, now + 2 * MS)
+    assert (told.complete, told.missing) == (False, ("r2",))
+    b.ack(two, 1, 2, False, now + 3 * MS)
+    told = b.status(1, now + 4 * MS)
+    assert (told.complete, told.took, told.missing) == (True, 3 * MS, ())
+    assert told.promise >= LEASE and told.delays["highest"] >= 2 * MS
+
+
+def test_a_member_that_vanishes_is_waited_for_its_lease_and_no_longer():
+    b, now = book(), 10 * LEASE
+    one, _ = member(b, "r1", now), member(b, "gone", now)
+    send(b, now + MS)
+    b.ack(one, 1, 2, False, now + LEASE)
+    assert b.complete == 0  # the other may still serve by its lease
+    b.ack(one, 1, 3, False, now + LEASE + MS)
+    assert b.complete == 1 and b.missed == 0
+
+
+def test_who_leaves_or_is_away_is_not_waited_for():
+    b, now = book(), 10 * LEASE
+    one, two = member(b, "r1", now), member(b, "c1", now, "cache")
+    assert b.caught(now) == {"c1": 0}
+    b.ack(two, 0, 2, True, now)
+    send(b, now)
+    assert b.complete == 0 and b.caught(now) == {}
+    b.leave(one, now)
+    assert b.complete == 1
+
+
+def test_after_a_restart_nothing_is_complete_until_older_leases_are_over():
+    b = Book(2, GRACE, 1_000_000)
+    send(b, 1_000_001)
+    b.tick(1_000_000 + LEASE - 1)
+    assert b.complete == 0
+    b.tick(1_000_000 + LEASE)
+    assert b.complete == 1
+
+
+def test_a_name_that_is_in_use_is_refused_until_its_lease_is_over():
+    b, now = book(), 10 * LEASE
+    first = member(b, "r1", now)
+    refused = b.hello(Hello("r1", "router", "other"), now + LEASE)
+    assert isinstance(refused, Refused) and refused.come_back == LEASE and "'r1'" in refused.reason
+    assert b.hello(Hello("r1", "router", "t-r1"), now) is first  # the same process, anew
+    assert not isinstance(b.hello(Hello("r1", "router", "other"), now + LEASE + 1), Refused)
+    refused = b.hello(Hello("r9", "router", "t", epoch=5), now)
+    assert refused.place == "epoch"
+
+
+def test_no_echo_vouches_for_what_is_not_durable():
+    b = book()
+    one = member(b, "r1", 1_000)
+    b.ack(one, 0, 2, False, 2_000)
+    send(b, 2_500, durable=False)
+    b.ack(one, 0, 3, False, 3_000)
+    assert b.echo(one) == 2
+    b.durable(1, 4_000)
+    assert b.echo(one) == 3
+
+
+def test_what_is_too_many_or_too_old_is_let_go_and_leaves_a_floor():
+    b = book(retain_most=10)
+    for n in range(30):
+        send(b, 10 * LEASE + n)
+    b.trim(10 * LEASE + 40)
+    assert (b.before, b.last, b.floor) == (20, 30, 10 * LEASE + 19)
+    assert b.too_far(19, 0, 0) and not b.too_far(20, 0, 0)
+    pages = b.snapshot(0, 0)
+    assert pages[-1] == Snapshot(30, b.floor, tuple(b.purges), True)
+    life = 10 * MS
+    assert b.too_far(25, life, 10 * LEASE + 28 + life) and b.snapshot(life, 1 << 50)[0].purges == ()
+    assert b.status(3, 0).remedy == "numbers go from 21 to 30"
+
+
+@pytest.mark.parametrize(
+    ("send", "place", "reason"),
+    [
+        (Send("tag"), "values", "no tag is named"),
+        (Send("all", ("x",)), "values", "names no values"),
+        (Send("tag", ("a b",)), "values", "is no tag"),
+        (Send("tag", tuple("t" * n for n in range(1, VALUES_MOST + 2))), "values", "in one purge"),
+        (Send("pattern", ("rose",)), "values", "begins with '/'"),
+        (Send("pattern", ("/a/**/b",)), "values", "only at the end"),
+        (Send("pattern", ("/**a",)), "values", "only at the end"),
+        (Send("pattern", ("/" + "*a" * 17,)), "values", "wildcards"),
+        (Send("pattern", ("/a" * 33,)), "values", "parts"),
+        (Send("tag", ("a",), vhost="a/b"), "vhost", "is no name"),
+        (Send("tag", ("a",), key="k k"), "key", "is no key"),
+    ],
+)
+def test_what_cannot_be_purged_is_refused_with_place_reason_and_remedy(send, place, reason):
+    found = faulty(send)
+    assert found.place == place and reason in found.reason and found.remedy and not found.come_back
+
+
+# -- a member ------------------------------------------------------------------------------------------------
+
+
+def follower(held=0):
+    found = Follower("r1", "router", "t", Lease(LEASE), held)
+    found.begin(0)
+    found.take(Welcome(1, held, 1_000, LEASE), 3_000)  # its clock is ahead by less than 2 ms
+    return found
+
+
+def purges(*numbers):
+    return Purges(tuple(Purge(n, n * MS, "tag", ("a",)) for n in numbers))
+
+
+def test_purges_come_in_order_and_once_whatever_the_line_does():
+    f = follower()
+    applied, said = f.take(purges(1, 2), 4_000)
+    assert [p.number for p in applied.purges] == [1, 2] and applied.offset == 2_000
+    assert said == Say(Ack(2, 2))
+    assert f.take(purges(1, 2), 5_000) == []  # doubled
+    assert [p.number for p in f.take(purges(2, 3), 5_000)[0].purges] == [3]
+    (end,) = f.take(purges(5), 6_000)  # one was lost
+    assert isinstance(end, End) and "5 came after 3" in end.reason and f.held == 3
+
+
+def test_a_lease_starts_when_the_echoed_word_was_sent():
+    f = follower()
+    f.take(Beat(1, 0, 0, 2_000), 10_000)  # sends mark 2 at 10 ms
+    assert f.lease.heard is None
+    f.take(Beat(1, 0, 2, 9_000), 90_000)
+    assert f.lease.heard == 10_000
+    f.take(Beat(1, 0, 1, 9_500), 95_000)  # a late echo
+    assert f.lease.heard == 10_000
+
+
+def test_a_beat_that_names_more_than_came_renews_nothing():
+    f = follower()
+    (end,) = f.take(Beat(1, 3, 1, 2_000), 10_000)
+    assert isinstance(end, End) and f.lease.heard is None
+
+
+def test_an_older_epoch_and_a_ledger_that_lost_something_are_left():
+    f = follower(held=4)
+    f.lease.renew(1)
+    f.begin(0)
+    (end,) = f.take(Welcome(1, 2, 0, LEASE), 0)
+    assert "lacks what was in force here up to 4" in end.reason and not f.lease.holds(1) and f.held == 0
+    f = follower()
+    f.epoch = 3
+    f.begin(0)
+    assert "epoch 2 is over" in f.take(Welcome(2, 9, 0, LEASE), 0)[0].reason
+
+
+def test_a_snapshot_counts_once_its_last_page_is_there():
+    f = follower()
+    pages = [Snapshot(40, 7, purges(30).purges, False), Snapshot(40, 7, purges(39).purges, True)]
+    assert f.take(pages[0], 0) == [] and f.held == 0
+    applied, _ = f.take(pages[1], 0)
+    assert (applied.whole, applied.floor, len(applied.purges), f.held) == (True, 7, 2, 40)
+    f.take(pages[0], 0)
+    f.begin(0)
+    assert f.pages == []  # half a snapshot is none
+
+
+# -- a router ------------------------------------------------------------------------------------------------
+
+ROSE = Asked("page", "rose", "x", "/rose")
+S = 1_000_000
+
+
+def fleet(now=100 * S):
+    found = Fleet(GRACE, 60 * S, 1_000, 100, skew=S)
+    found.lease.renew(now)
+    return found
+
+
+def apply(fleet, now, *told, number=1, whole=False, floor=0):
+    made = tuple(Purge(number + n, when, "tag", tags) for n, (when, tags) in enumerate(told))
+    fleet.apply(Apply(made, 0, floor, whole), number + len(told) - 1, now)
+
+
+def test_a_copy_with_tags_that_nobody_knew_is_judged_when_it_comes():
+    f, now = fleet(), 100 * S
+    apply(f, now, (now, ("care",)))
+    assert f.oldest(ROSE, "north", (), 8 * S, now + MS) == 8 * S  # never seen: judged by its answer
+    late = now + GRACE
+    f.lease.renew(late)
+    old, new = Copy(0, 2 * S, ("care",)), Copy(0, 100 * MS, ("care",))
+    assert not f.good(ROSE, "north", old, late, late) and f.old == 1
+    assert f.oldest(ROSE, "north", (), 8 * S, late) == GRACE  # and now its tags are known
+    assert f.good(ROSE, "north", new, late, late)
+    assert f.good(ROSE, "north", Copy(0, 2 * S, ("other",)), late, late)
+    assert not f.good(ROSE, "north", Copy(0, 2 * S, None), late, late)  # may carry any
+    assert f.good(ROSE, "north", old, now + 100 * MS, now + 100 * MS)  # while the purge is new
+
+
+def test_without_an_age_the_clocks_may_differ_by_what_is_told():
+    f, now = fleet(), 100 * S
+    apply(f, now, (now, ("care",)))
+    late = now + 5 * S
+    assert not f.good(ROSE, "north", Copy(now + 900 * MS, None, ("care",)), late, late)
+    assert f.good(ROSE, "north", Copy(now + 1_001 * MS, None, ("care",)), late, late)
+
+
+def test_cut_off_a_router_takes_copies_of_a_lease_at_most():
+    f, now = fleet(), 100 * S
+    assert f.oldest(ROSE, "north", (), 0, now + LEASE) == 0
+    assert f.oldest(ROSE, "north", (), 0, now + LEASE + 1) == LEASE
+    f.lease.renew(now + LEASE)
+    assert f.oldest(ROSE, "north", (), 0, now + LEASE + 1) == 0
+
+
+def test_a_cache_that_has_not_purged_what_no_mark_tells_of_is_bounded_by_the_life_of_marks():
+    f, now = fleet(), 100 * S
+    apply(f, now, (now, ("care",)), (now, ("x",)))
+    later = now + 70 * S
+    f.lease.renew(later)
+    f.caught = {"c1": 2, "c2": 1}
+    assert f.oldest(ROSE, "north", ("c1", "c1"), 0, later) == 0
+    for held_by in (("c1", "c2"), ("c3", "c1")):
+        assert f.oldest(ROSE, "north", held_by, 0, later) == 60 * S
+    assert f.oldest(ROSE, "north", ("c2", "c2"), 8 * S, later) == 8 * S
+
+
+def test_a_snapshot_with_a_floor_bounds_all_copies():
+    f, now = fleet(), 100 * S
+    apply(f, now, (now - S, ("x",)), number=50, whole=True, floor=now - 2 * S)
+    assert f.oldest(ROSE, "north", (), 0, now) == 2 * S and f.marks.forgotten == 49
+    assert not f.good(ROSE, "north", Copy(0, 3 * S, ()), now, now)
+
+
+def test_what_is_kept_in_a_file_holds_after_a_restart():
+    f, now = fleet(), 100 * S
+    apply(f, now, (now, ("care",)), (now, ("x",)))
+    after = Fleet(GRACE, 60 * S, 1_000, 100)
+    after.resume(f.recent, f.held, f.known_from, now + S)
+    assert after.held == 2 and after.marks.newest(ROSE, ("care",), "north") == now
+    assert after.oldest(ROSE, "north", (), 0, now + S) == LEASE  # until the ledger is heard
