--- a/quartzrouter/ledger/serve.py
+++ b/quartzrouter/ledger/serve.py
@@ -175,8 +175,8 @@
                     said = answers.popleft()
                     room[0].set()
                     data = words.line(await self._awaited(said))
-                    while answers and not isinstance(answers[0], tuple) and len(data) < words.LINE_MOST:
-                        data += words.line(answers.popleft())
+                    while answers and len(data) < words.LINE_MOST and self._ready(answers[0]):
+                        data += words.line(await self._awaited(answers.popleft()))
                     with anyio.fail_after(WRITE_WITHIN):
                         await stream.send(data)
                 more[0] = anyio.Event()
@@ -232,6 +232,10 @@
                 return self.book.told_members(self._time())
         return Refused("line", f"{type(said).__name__} before any hello", "say hello first")
 
+    @staticmethod
+    def _ready(said) -> bool:
+        return not isinstance(said, tuple) or said[0].done.is_set()
+
     @staticmethod
     async def _awaited(said) -> words.FromLedger:
         if not isinstance(said, tuple):
--- a/quartzrouter/purges/book.py
+++ b/quartzrouter/purges/book.py
@@ -63,6 +63,7 @@
         self.took: dict[int, tuple[int, int]] = {}  # us and the promise, by number, of the last
         self.delays = Delays()
         self.missed = 0  # promises
+        self.promise = self._promise()  # us, for a purge that is sent now
 
     def recover(self, purges: list[Purge], before: int, floor: int) -> None:
         """What the log holds; all of it is durable."""
@@ -224,6 +225,8 @@
             if len(self.took) > TAKES_MOST:
                 del self.took[next(iter(self.took))]
         self.complete = max(self.complete, low)
+        if found:
+            self.promise = self._promise()
         return found
 
     def _live(self, now: int) -> list[Member]:
@@ -232,11 +235,9 @@
             if member.kind != "watcher" and member.live(now, self.lease)
         ]  # fmt: skip
 
-    @property
-    def promise(self) -> int:
+    def _promise(self) -> int:
         """us until a purge sent now is in force everywhere: one that vanishes is waited for a lease."""
-        floor = self.lease + 2 * beat_every(self.grace)
-        return max(floor, int(PROMISE_OVER * self.delays.at(99)))
+        return max(self.lease + 2 * beat_every(self.grace), int(PROMISE_OVER * self.delays.at(99)))
 
     # -- told --------------------------------------------------------------------------------------------
 
