--- a/quartzrouter/cli/explore.py
+++ b/quartzrouter/cli/explore.py
@@ -7,7 +7,7 @@
 
 @click.command(epilog="Example: quartzrouter explore purges --states 200000")
 @click.argument("name", type=click.Choice(["purges"]))
-@click.option("--states", default=20_000, show_default=True, help="Of each case, at most.")
+@click.option("--states", default=70_000, show_default=True, help="Of each case, at most.")
 @click.option("--seconds", default=60.0, show_default=True, help="For each case, at most.")
 def explore(name: str, states: int, seconds: float) -> None:
     """Explore a protocol over the real decisions; exit with 1 and the shortest trace if a property breaks."""
