--- a/benchmarks/purges.py
+++ b/benchmarks/purges.py
@@ -62,6 +62,13 @@
         return best
 
 
+def filled(name: str, purges: list[Purge]) -> "Marks | Plain":
+    held = Marks(LIFE, 10_000_000) if name == "own" else Plain()
+    for purge in purges:
+        held.add(purge, purge.when)
+    return held
+
+
 def marks() -> None:
     print(f"{'marks':>9} {'kind':6} {'add us':>8} {'look us':>9} {'MB':>7}")
     for count in (1_000, 10_000, 100_000, 1_000_000):
@@ -71,13 +78,12 @@
             chance = random.Random(1)
             purges = made(count, chance)
             tracemalloc.start()
-            held = Marks(LIFE, 10_000_000) if name == "own" else Plain()
-            began = time.perf_counter()
-            for purge in purges:
-                held.add(purge, purge.when)
-            added = time.perf_counter() - began
+            held = filled(name, purges)
             size = tracemalloc.get_traced_memory()[0]
             tracemalloc.stop()
+            began = time.perf_counter()
+            held = filled(name, purges)
+            added = time.perf_counter() - began
             looks = LOOKS if count < 100_000 or name == "own" else 50
             asked = [
                 Asked("page", f"o{chance.randrange(count)}", "x", f"/p{n % 977}/rose-{n}/1")
