Reports in answers stand in for probes and own reqs times routers; untold sizes get time

- _load(): a cache's word of how busy it is, for two seconds; own reqs times routers where it is full or silent.
- _dispatch(), _measure(): among reports and without a size a dispatch has the client timeout, and a fill is late by its first byte (the adapter passes first_byte_us and the report on).
- Without probes a cache that answers again after a lost connection is taken for cold, and one that hangs counts as bad.
- A cold budget of less than a req is given in turns in place of never.

--- a/quartzrouter/briefing.py
+++ b/quartzrouter/briefing.py
@@ -14,6 +14,7 @@
 
 EFFECTS = {"retryable": Effect.REPLAYABLE, "dedup": Effect.UNIQUED, "fragile": Effect.NON_REPLAYABLE}
 NUMBER = (int, float)
+BUSY = "busy"  # the field of a load report that the decisions read
 MOST = 1 << 62  # us, or whatever else a whole number counts
 
 
@@ -78,7 +79,8 @@
         )
         self.connect_within = limits.count("dial_timeout_us", 400_000, least=1)
         self.idle_most = limits.count("conn_idle_us", 15_000_000, least=1)
-        self.fields: list[str] = setup.part("load_report").may("fields", [], list)
+        self.reports = setup.part("load_report")
+        self.fields: list[str] = self.reports.may("fields", [], list)
         home = setup.may("zone", "", str)
         served = self.zones.index(home) if home in self.zones else len(self.zones)
         everyone = setup.count("peers_total", 1, least=1)
@@ -99,6 +101,9 @@
                 call_off=limits.may("cancel", False, bool),
                 longest_wait=limits.count("max_retry_after_us") * limits.may("retry_after", False, bool),
                 subscribe=setup.may("discovery", "pushed", str) == "on_request",
+                reports=self.reports.may("how", "silent", str) == "piggyback"
+                and BUSY in self.fields
+                and not limits.may("probes", False, bool),
             ),
             "cold_cache": ColdStart(
                 floor=rules.figure("cold_from", most=1),
--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -57,6 +57,8 @@
 RETRY_RATE, RETRY_BURST = 0.3, 20.0  # further dispatches for each first one, and at once: no storm of ours
 BINS, STEP = 36, 1.3  # bins of a histogram, and their growth: finer than the spread of what is measured
 MEASURED, FEW = 400, 12  # samples: then bins are halved, some tens of seconds; below, a default stands
+REPORT_HOLDS = 2 * S  # a cache's word of its load; older ones say less than this router's own reqs
+FULL_AT = 0.9  # of its cores, as a cache reports it: noise leaves no finer line
 LINK_SEEN = 0.8  # quantile of the transfers that a link was seen to carry: most are seen below its limit
 
 
@@ -136,10 +138,10 @@
                 del self.orders[next(iter(self.orders))]
         return self.orders[obj, parents]
 
-    def pick(self, obj: str, order: list[int], load: dict[int, int], busy, now: int) -> int:
+    def pick(self, obj: str, order: list[int], load, busy, now: int) -> int:
         slot = zlib.crc32(obj.encode()) % len(self.table)
         length, changed = self.table[slot]
-        best, steps = min(order[:length], key=load.__getitem__), length  # ties go to the higher hash
+        best, steps = min(order[:length], key=load), length  # ties go to the higher hash
         if busy(best):
             free = ((n, at) for n, at in enumerate(order, 1) if not busy(at))
             steps, best = next(free, (len(order), order[0]))
@@ -153,8 +155,8 @@
 class WarmUp:
     """What cold servers of one tier may be sent: a budget over every window, shared among their routers."""
 
-    def __init__(self, cold: ColdStart, share: float):
-        self.cold, self.share = cold, share
+    def __init__(self, cold: ColdStart, share: float, me: int):
+        self.cold, self.share, self.me = cold, share, me
         self.sent: dict[int, deque[list[int]]] = {}  # per server: when, sending time
 
     def room(self, at: int, link: float, started: int, weight: int, now: int) -> bool:
@@ -164,6 +166,9 @@
             return True
         can = link * (cold.floor + (1 - cold.floor) * max(0, age) / cold.ramp)
         budget = can * cold.multiple * cold.window * self.share / cold.routers
+        if budget < weight:  # too little for one req each: routers take turns, as many at a time as it bears
+            turn = zlib.crc32(b"%d/%d/%d" % (self.me, at, now // cold.window)) / 2**32
+            budget = weight if turn * weight < budget else 0
         return sum(w for _, w in self.lately(at, now)) + weight <= budget
 
     def spend(self, at: int, weight: int, now: int) -> list[int]:
@@ -374,7 +379,7 @@
         self.links: dict[str, Histogram] = {}  # by kind: transfers that a cache's link was seen to carry
         self.roster, self.walk = Roster(home), Walk(QUIET, WALKS)
         cold = {Tier.CACHE: cold_cache, Tier.PARENT: cold_parent}
-        self.warm = {tier: WarmUp(cold[tier], COLD_SHARE) for tier in cold}
+        self.warm = {tier: WarmUp(cold[tier], COLD_SHARE, me) for tier in cold}
         self.purges = Purges(purge_life)
         self.health = Health(self._chance)
         self.fills = Fills(FILLS_START, FILLS_LEAST, FILLS_MOST, cold_parent.routers)
@@ -382,6 +387,7 @@
         self.flights: dict[int, Flight] = {}
         self.load: dict[int, int] = defaultdict(int)  # reqs outstanding, by server
         self.naming: dict[int, int] = defaultdict(int)  # of those to others, how many name it as source
+        self.reports: dict[int, tuple[int, float]] = {}  # by server: when, and how busy it said it was
         self.seen: dict[int, None] = {}  # hashes of parts asked for lately, oldest first
         self.subscribe_at = 0 if permits.subscribe else NEVER
 
@@ -392,8 +398,8 @@
         gone = [at for at, be in kept.be.items() if be.state == State.GONE]
         for at in [at for at in gone if not (self.load[at] or self.naming[at])]:  # nothing of it is out
             del kept.index[kept.be[at].name]
-            for by_server in (kept.be, kept.started, self.load, self.naming, self.health.of, fills.limit,
-                              fills.out, fills.cut, *(tier.sent for tier in warm)):  # fmt: skip
+            for by_server in (kept.be, kept.started, self.load, self.naming, self.reports, self.health.of,
+                              fills.limit, fills.out, fills.cut, *(tier.sent for tier in warm)):  # fmt: skip
                 by_server.pop(at, None)
         self.walk.orders.clear()
 
@@ -411,9 +417,12 @@
             peers = self.roster.peers[self.roster.be[at].tier]
             self.health.bad(at, peers, now, name, ending is Ending.NO_CONNECTION)
         elif ending is Ending.DONE and self.health.of[at].out > now and self.health.of[at].unreached:
-            self.roster.started[at] = max(self.roster.started[at], self.health.of[at].unreached)
-            self.health.of[at].out, self.health.of[at].unreached = 0, None  # it is tried at once
-            log.info("%s answers again and is taken for cold", name)
+            self._back(at, self.health.of[at].unreached)
+
+    def _back(self, at: int, since: int) -> None:
+        self.roster.started[at] = max(self.roster.started[at], since)
+        self.health.of[at].out, self.health.of[at].unreached = 0, None  # it is tried at once
+        log.info("%s answers again and is taken for cold", self.roster.be[at].name)
 
     def begun(self, req_id: int) -> None:  # its answer is passed on as it comes: no other dispatch follows
         if flight := self.flights.get(req_id):
@@ -443,6 +452,11 @@
         self.load[sent.be] -= 1
         self.naming[sent.source] -= sent.source != sent.be
         self.fills.out[sent.source] -= sent.miss
+        if outcome.busy is not None and self.permits.reports:
+            self.reports[sent.be] = (now, outcome.busy)
+        unreached = self.permits.reports and self.health.of[sent.be].unreached
+        if unreached and outcome.ending in (Ending.DONE, Ending.FULL, Ending.LACKING):
+            self._back(sent.be, max(unreached, now - OUT_FOR))  # no probe has told: it may just have started
         self._measure(flight, sent, outcome, now)
         self._judge(flight, sent, outcome, now)
         if not outcome.ending.never_ran and flight.ran is None:
@@ -477,7 +491,8 @@
         if passing:
             be = source if source is not None and self.retries.may_reach(flight, roster.be[source]) else None
         elif order:
-            be = self.walk.pick(flight.req.obj, order, self.load, lambda at: self._busy(flight, at, now), now)
+            load, busy = (lambda at: self._load(at, now)), (lambda at: self._busy(flight, at, now))
+            be = self.walk.pick(flight.req.obj, order, load, busy, now)
         elif self.permits.pass_through and flight.ran is None:
             be = source  # every cache is out or cold to its limit: a parent or the origin answers
         if be is None or (source is None and not kept):
@@ -510,7 +525,7 @@
         if source == be and roster.be[be].tier is Tier.PARENT and roster.peers[Tier.ORIGIN]:
             source = roster.peers[Tier.ORIGIN][0]
         hop, flight.hops = flight.hops, flight.hops + 1
-        flight.out[hop] = Sent(be, source, now, cold, self._shared(be), be in flight.lacking)
+        flight.out[hop] = Sent(be, source, now, cold, self._shared(be, now), be in flight.lacking)
         self.fills.out[source] += be in flight.lacking
         self.load[be] += 1
         self.naming[source] += source != be
@@ -518,7 +533,9 @@
         usual = vhost.fresh_for + (vhost.grace_for if late else 0)  # an old copy is better than none
         oldest = self.purges.oldest(req.group, req.obj, usual, now)
         names, until = (roster.be[be].name, roster.be[source].name), flight.deadline
-        if vhost.effect is Effect.REPLAYABLE:  # what hangs is found out soon, and holds no place for long
+        # What hangs is found out soon, and holds no place for long.  Where a report tells what is full, objects
+        # of untold size have their time: large ones take as long.
+        if vhost.effect is Effect.REPLAYABLE and (req.size_kb or not self.permits.reports):
             until = min(until, flight.came + int(PATIENCE * self._target(flight)))
         timeout = max(1, until - now)
         return Dispatch(hop, *names, flight.rank, oldest, self.permits.joins, bool(vhost.fresh_for), timeout)
@@ -534,6 +551,8 @@
         if self.roster.be[sent.be].tier is not Tier.CACHE or ending in (Ending.LACKING, Ending.CALLED_OFF):
             return
         timely = ending is Ending.DONE and outcome.elapsed <= self._target(flight)
+        if ending is Ending.DONE and self.permits.reports and not flight.req.size_kb:  # large ones are late
+            timely = (outcome.waited or 0) <= flight.vhost.first_byte_target
         late = ending in (Ending.DONE, Ending.LATE) and not timely
         late |= told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.NO_PLACE, Told.ORIGIN_LOST)
         filled = sent.source != sent.be and told is not Told.HIT
@@ -579,7 +598,8 @@
                 wait = BUSY_AFTER_FULL if be.tier is Tier.CACHE else SOURCE_AFTER_FULL
                 self.health.of[n].full = now + wait
             refused = ending is Ending.FULL and be.tier is not Tier.PARENT
-            if refused or ending in (Ending.LACKING, Ending.LATE, Ending.NOT_UP):
+            silent = ending is Ending.LATE and not (self.permits.reports and be.tier is Tier.CACHE)
+            if refused or silent or ending in (Ending.LACKING, Ending.NOT_UP):
                 self.health.doubt(n, now)  # which is enough
             else:
                 self._blame(n, now, lost=ending is Ending.NO_CONNECTION and n == at)
@@ -620,21 +640,29 @@
     def _in_time(self, flight: Flight, be: int, now: int) -> bool:
         """Work that can't meet its target is not begun: it would only make others late as well.
         Covers bursts, overload, retry storms and slow caches; harms where the link is better than told."""
-        cache = self.roster.be[be].tier is Tier.CACHE and self.load[be]  # an idle one is always tried
-        takes = self._own(flight) * (max(1.0, self._shared(be)) * PACE_MARGIN if cache else 0.0)
+        cache = self.roster.be[be].tier is Tier.CACHE and self._load(be, now)  # an idle one is always tried
+        takes = self._own(flight) * (max(1.0, self._shared(be, now)) * PACE_MARGIN if cache else 0.0)
         return now + takes <= flight.came + self._target(flight)
 
     def _busy(self, flight: Flight, be: int, now: int) -> bool:
-        limit = max(BUSY_LEAST, BUSY_AT * self._link(be) / self.warm[Tier.CACHE].cold.routers)
-        if self.load[be] >= limit or self.health.of[be].full > now:
+        limit = max(BUSY_LEAST * self.warm[Tier.CACHE].cold.routers, BUSY_AT * self._link(be))
+        if self._load(be, now) >= limit or self.health.of[be].full > now:
             return True
         if self.fills.troubled(now) or self._in_time(flight, be, now):
             return False
-        caches, routers = self.roster.peers[Tier.CACHE], self.warm[Tier.CACHE].cold.routers
-        return sum(self.load[at] * routers - ROOM * self._link(at) for at in caches) < 0  # room for a copy
-
-    def _shared(self, be: int) -> float:  # what slows one more transfer; the other routers do as we do
-        return (self.load[be] * self.warm[Tier.CACHE].cold.routers + 1) / self._link(be)
+        caches = self.roster.peers[Tier.CACHE]
+        return sum(self._load(at, now) - ROOM * self._link(at) for at in caches) < 0  # room for a copy
+
+    def _load(self, at: int, now: int) -> float:
+        """Reqs outstanding from all routers: by the cache's word, or else the others do as this one."""
+        said, busy = self.reports.get(at, (-REPORT_HOLDS, 1.0))
+        everyones = self.load[at] * self.warm[Tier.CACHE].cold.routers
+        if now - said >= REPORT_HOLDS:
+            return everyones
+        return busy * self._link(at) + self.load[at] if busy < FULL_AT else max(everyones, self._link(at))
+
+    def _shared(self, be: int, now: int) -> float:  # what slows one more transfer
+        return (self._load(be, now) + 1) / self._link(be)
 
     def _link(self, at: int) -> float:
         if self.rated:
--- a/quartzrouter/drill/host.py
+++ b/quartzrouter/drill/host.py
@@ -72,7 +72,7 @@
         self.take(wire.req(event), now)
 
     def on_answer(self, event: dict[str, Any], now: int) -> None:
-        self.ended(wire.need(event, "op_id", int), wire.outcome(event), now)
+        self.ended(wire.need(event, "op_id", int), wire.outcome(event, self.briefing.fields), now)
 
     def on_begun(self, event: dict[str, Any], now: int) -> None:
         self.router.begun(wire.need(event, "op_id", int))
--- a/quartzrouter/drill/wire.py
+++ b/quartzrouter/drill/wire.py
@@ -75,7 +75,7 @@
     return ENDINGS.get(need(event, "how", str), Ending.ERROR)
 
 
-def outcome(event: dict[str, Any]) -> Outcome:
+def outcome(event: dict[str, Any], fields: list[str]) -> Outcome:
     note = event.get("note") or 0
     return Outcome(
         hop=need(event, "hop", int),
@@ -83,6 +83,8 @@
         elapsed=need(event, "time_taken_us", int),
         told=Told(note) if note in Told._value2member_map_ else Told.NOTHING,
         over=bool(event.get("ended")),
+        waited=event.get("first_byte_us"),
+        busy=report(event.get("load"), fields).get("busy"),
     )
 
 
--- a/quartzrouter/interface.py
+++ b/quartzrouter/interface.py
@@ -104,6 +104,7 @@
     call_off: bool
     longest_wait: int  # the longest time to come back that may be named; 0: none may be
     subscribe: bool  # the cache list has to be asked for
+    reports: bool = False  # answers say how busy their server is, which stands in for probes
 
 
 # -- told as it goes -------------------------------------------------------------------------------
@@ -143,6 +144,8 @@
     elapsed: int
     told: Told = Told.NOTHING
     over: bool = False  # the req has its final answer
+    waited: int | None = None  # for the source's first byte, or its failure
+    busy: float | None = None  # the share of its capacity that the server reported to be in use
 
 
 # -- the answers -----------------------------------------------------------------------------------
