--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -57,6 +57,8 @@
 RETRY_RATE, RETRY_BURST = 0.3, 20.0  # further dispatches for each first one, and at once: no storm of ours
 BINS, STEP = 36, 1.3  # bins of a histogram, and their growth: finer than the spread of what is measured
 MEASURED, FEW = 400, 12  # samples: then bins are halved, some tens of seconds; below, a default stands
+LINK_FULL = 1.5  # transfers on the location's link over those that fit at full pace; more come late
+LINK_NEW = 0.3  # weight of a new report of that link: each is noisy
 REPORT_HOLDS = 2 * S  # a cache's word of its load; older ones say less than this router's own reqs
 FULL_AT = 0.9  # of its cores, as a cache reports it: noise leaves no finer line
 LINK_SEEN = 0.8  # quantile of the transfers that a link was seen to carry: most are seen below its limit
@@ -387,6 +389,7 @@
         self.flights: dict[int, Flight] = {}
         self.load: dict[int, int] = defaultdict(int)  # reqs outstanding, by server
         self.naming: dict[int, int] = defaultdict(int)  # of those to others, how many name it as source
+        self.link_in = (-REPORT_HOLDS, 0.0)  # the location's: when last told, and how full
         self.reports: dict[int, tuple[int, float]] = {}  # by server: when, and how busy it said it was
         self.seen: dict[int, None] = {}  # hashes of parts asked for lately, oldest first
         self.subscribe_at = 0 if permits.subscribe else NEVER
@@ -457,6 +460,8 @@
         unreached = self.permits.reports and self.health.of[sent.be].unreached
         if unreached and outcome.ending in (Ending.DONE, Ending.FULL, Ending.LACKING):
             self._back(sent.be, max(unreached, now - OUT_FOR))  # no probe has told: it may just have started
+        if outcome.link_in is not None and self.roster.be[sent.be].tier is Tier.CACHE:
+            self.link_in = (now, self.link_in[1] + LINK_NEW * (outcome.link_in - self.link_in[1]))
         self._measure(flight, sent, outcome, now)
         self._judge(flight, sent, outcome, now)
         if not outcome.ending.never_ran and flight.ran is None:
@@ -482,10 +487,12 @@
         parents = [at for at in parents if roster.up(at) and at not in flight.avoid]
         origins = roster.peers[Tier.ORIGIN]
         draw, fills = zlib.crc32(b"%d" % flight.req.id) / 2**32, self.fills  # the same at each asking
-        ok, calm = (lambda at: self._source_ok(at, weight, now)), not fills.troubled(now)
+        ok, late = (lambda at: self._source_ok(at, weight, now)), fills.troubled(now)
+        crowd = self.link_in[1] / LINK_FULL if now - self.link_in[0] < REPORT_HOLDS else 0.0
         well = list(filter(ok, parents)) or list(filter(ok, origins))  # the origin only when no parent is up
         free = (at for at in well if at in origins or self.naming[at] < CROWDED_AT)
-        source = next((at for at in free if calm or fills.room(at, draw)), None)
+        free = (at for at in free if not kept or draw * crowd <= 1)  # so much comes in time
+        source = next((at for at in free if not late or fills.room(at, draw)), None)
         passing, be = not kept and self.permits.pass_through, None
         order = [] if passing else self._eligible(flight, weight, now)
         if passing:
@@ -499,7 +506,7 @@
             return self._hold(flight, now)
         if not self._in_time(flight, be, now):
             return self._give_up(flight)
-        if kept and be in order and not calm:
+        if kept and be in order and (late or crowd > 1):
             unasked = [at for at in order if at not in flight.lacking]
             if unasked and len(flight.lacking) < LOOKS and flight.hops + 2 <= self.permits.dispatches:
                 be = source = be if be in unasked else unasked[0]
@@ -533,8 +540,8 @@
         usual = vhost.fresh_for + (vhost.grace_for if late else 0)  # an old copy is better than none
         oldest = self.purges.oldest(req.group, req.obj, usual, now)
         names, until = (roster.be[be].name, roster.be[source].name), flight.deadline
-        # What hangs is found out soon, and holds no place for long.  Where a report tells what is full, objects
-        # of untold size have their time: large ones take as long.
+        # What hangs is found out soon, and holds no place for long.  Where reports tell of load, an object
+        # of untold size has its time: large ones take as long.
         if vhost.effect is Effect.REPLAYABLE and (req.size_kb or not self.permits.reports):
             until = min(until, flight.came + int(PATIENCE * self._target(flight)))
         timeout = max(1, until - now)
--- a/quartzrouter/drill/wire.py
+++ b/quartzrouter/drill/wire.py
@@ -76,7 +76,7 @@
 
 
 def outcome(event: dict[str, Any], fields: list[str]) -> Outcome:
-    note = event.get("note") or 0
+    note, told = event.get("note") or 0, report(event.get("load"), fields)
     return Outcome(
         hop=need(event, "hop", int),
         ending=ending(event),
@@ -84,7 +84,8 @@
         told=Told(note) if note in Told._value2member_map_ else Told.NOTHING,
         over=bool(event.get("ended")),
         waited=event.get("first_byte_us"),
-        busy=report(event.get("load"), fields).get("busy"),
+        busy=told.get("busy"),
+        link_in=told.get("x1"),
     )
 
 
--- a/quartzrouter/interface.py
+++ b/quartzrouter/interface.py
@@ -145,6 +145,7 @@
     told: Told = Told.NOTHING
     over: bool = False  # the req has its final answer
     waited: int | None = None  # for the source's first byte, or its failure
+    link_in: float | None = None  # a cache's: transfers on its location's link over those that fit
     busy: float | None = None  # the share of its capacity that the server reported to be in use
 
 
