--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -59,6 +59,7 @@
 MEASURED, FEW = 400, 12  # samples: then bins are halved, some tens of seconds; below, a default stands
 LINK_FULL = 1.5  # transfers on the location's link over those that fit at full pace; more come late
 LINK_NEW = 0.3  # weight of a new report of that link: each is noisy
+PACE_NEW = 0.1  # weight of one answer's pace: sizes differ widely
 REPORT_HOLDS = 2 * S  # a cache's word of its load; older ones say less than this router's own reqs
 FULL_AT = 0.9  # of its cores, as a cache reports it: noise leaves no finer line
 LINK_SEEN = 0.8  # quantile of the transfers that a link was seen to carry: most are seen below its limit
@@ -390,6 +391,7 @@
         self.load: dict[int, int] = defaultdict(int)  # reqs outstanding, by server
         self.naming: dict[int, int] = defaultdict(int)  # of those to others, how many name it as source
         self.link_in = (-REPORT_HOLDS, 0.0)  # the location's: when last told, and how full
+        self.paces = {False: 0.0, True: 0.0}  # logarithms of sending times over the vhost's mean: hits, fills
         self.reports: dict[int, tuple[int, float]] = {}  # by server: when, and how busy it said it was
         self.seen: dict[int, None] = {}  # hashes of parts asked for lately, oldest first
         self.subscribe_at = 0 if permits.subscribe else NEVER
@@ -555,6 +557,14 @@
             seen.add(sent.shared * self._link(sent.be) * pace)
         elif ending is Ending.DONE and told is Told.HIT:
             self.sending[flight.req.vhost].add(outcome.elapsed / max(1.0, sent.shared))
+        whole = ending is Ending.DONE and told in (Told.HIT, Told.FILLED, Told.FROM_ORIGIN)
+        if whole and self.permits.reports:
+            own, fill = self._own(flight), told is not Told.HIT
+            took = max(MS, outcome.elapsed - (outcome.waited or 0))
+            if own and self.roster.be[sent.be].tier is Tier.CACHE:
+                self.paces[fill] += PACE_NEW * (math.log(took / own) - self.paces[fill])
+                if fill and outcome.link_in is None:  # untold, it shows: fills are slower than hits
+                    self.link_in = (now, math.exp(self.paces[True] - self.paces[False]))
         if self.roster.be[sent.be].tier is not Tier.CACHE or ending in (Ending.LACKING, Ending.CALLED_OFF):
             return
         timely = ending is Ending.DONE and outcome.elapsed <= self._target(flight)
