Turns in cold budgets taken out; the platform's answers are not read for reports it lacks

What was found, and the lines at fault:

- WarmUp.room() gave a cold budget of less than a req to routers by chance.
With few routers that weakens the fourth rule: of two whose part bears three tenths of a req, one window in eleven has both send, twice what may be sent.
- backend.read_head() read X-Ttfb and X-Report of every answer, and raised and caught an error for each one that lacks them, also where the settings say that nothing is told.
It does so now only where answers carry reports.
- Three fields stood in Head and again in Outcome, in another order, with a dict between them: one Report now.

The traces of heads show the same values in their new place.

--- a/quartzrouter/briefing.py
+++ b/quartzrouter/briefing.py
@@ -80,8 +80,8 @@
         )
         self.connect_within = limits.count("dial_timeout_us", 400_000, least=1)
         self.idle_most = limits.count("conn_idle_us", 15_000_000, least=1)
-        self.reports = setup.part("load_report")
-        self.fields: list[str] = self.reports.may("fields", [], list)
+        self.load_report = setup.part("load_report")
+        self.fields: list[str] = self.load_report.may("fields", [], list)
         home = setup.may("zone", "", str)
         served = self.zones.index(home) if home in self.zones else len(self.zones)
         everyone = setup.count("peers_total", 1, least=1)
@@ -102,7 +102,7 @@
                 call_off=limits.may("cancel", False, bool),
                 longest_wait=limits.count("max_retry_after_us") * limits.may("retry_after", False, bool),
                 subscribe=setup.may("discovery", "pushed", str) == "on_request",
-                reports=self.reports.may("how", "silent", str) == "piggyback"
+                reports=self.load_report.may("how", "silent", str) == "piggyback"
                 and BUSY in self.fields
                 and not limits.may("probes", False, bool),
             ),
@@ -127,7 +127,7 @@
 
     def check_shape(self) -> None:
         """Load is told either by probes or in answers; what mixes the two would leave the decisions blind."""
-        how, key = self.reports.may("how", "silent", str), self.reports.key
+        how, key = self.load_report.may("how", "silent", str), self.load_report.key
         if how not in HOWS:
             raise Unusable(f"{key('how')} is {how!r:.60}; it may be {', '.join(HOWS)}")
         probes = self.arguments["permits"].probes
--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -14,8 +14,8 @@
 from typing import NamedTuple
 
 from quartzrouter.interface import (
-    Abort, Answer, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Req, State,
-    Tier, Told, VHost, Wait,
+    Abort, Answer, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Report, Req,
+    State, Tier, Told, VHost, Wait,
 )  # fmt: skip
 
 log = logging.getLogger(__name__)
@@ -158,8 +158,8 @@
 class WarmUp:
     """What cold servers of one tier may be sent: a budget over every window, shared among their routers."""
 
-    def __init__(self, cold: ColdStart, share: float, me: int):
-        self.cold, self.share, self.me = cold, share, me
+    def __init__(self, cold: ColdStart, share: float):
+        self.cold, self.share = cold, share
         self.sent: dict[int, deque[list[int]]] = {}  # per server: when, sending time
 
     def room(self, at: int, link: float, started: int, weight: int, now: int) -> bool:
@@ -169,9 +169,6 @@
             return True
         can = link * (cold.floor + (1 - cold.floor) * max(0, age) / cold.ramp)
         budget = can * cold.multiple * cold.window * self.share / cold.routers
-        if budget < weight:  # too little for one req each: routers take turns, as many at a time as it bears
-            turn = zlib.crc32(b"%d/%d/%d" % (self.me, at, now // cold.window)) / 2**32
-            budget = weight if turn * weight < budget else 0
         return sum(w for _, w in self.lately(at, now)) + weight <= budget
 
     def spend(self, at: int, weight: int, now: int) -> list[int]:
@@ -382,7 +379,7 @@
         self.links: dict[str, Histogram] = {}  # by kind: transfers that a cache's link was seen to carry
         self.roster, self.walk = Roster(home), Walk(QUIET, WALKS)
         cold = {Tier.CACHE: cold_cache, Tier.PARENT: cold_parent}
-        self.warm = {tier: WarmUp(cold[tier], COLD_SHARE, me) for tier in cold}
+        self.warm = {tier: WarmUp(cold[tier], COLD_SHARE) for tier in cold}
         self.purges = Purges(purge_life)
         self.health = Health(self._chance)
         self.fills = Fills(FILLS_START, FILLS_LEAST, FILLS_MOST, cold_parent.routers)
@@ -457,14 +454,14 @@
         self.load[sent.be] -= 1
         self.naming[sent.source] -= sent.source != sent.be
         self.fills.out[sent.source] -= sent.miss
-        if outcome.busy is not None and self.permits.reports:
-            self.reports[sent.be] = (now, outcome.busy)
+        report = outcome.report if self.permits.reports else Report()
+        if report.busy is not None:
+            self.reports[sent.be] = (now, report.busy)
         unreached = self.permits.reports and self.health.of[sent.be].unreached
         if unreached and outcome.ending in (Ending.DONE, Ending.FULL, Ending.LACKING):
             self._back(sent.be, max(unreached, now - OUT_FOR))  # no probe has told: it may just have started
-        told = outcome.link_in if self.permits.reports else None
-        if told is not None and self.roster.be[sent.be].tier is Tier.CACHE:
-            self.link_in = (now, self.link_in[1] + LINK_NEW * (told - self.link_in[1]))
+        if report.link_in is not None and self.roster.be[sent.be].tier is Tier.CACHE:
+            self.link_in = (now, self.link_in[1] + LINK_NEW * (report.link_in - self.link_in[1]))
         self._measure(flight, sent, outcome, now)
         self._judge(flight, sent, outcome, now)
         if not outcome.ending.never_ran and flight.ran is None:
@@ -561,16 +558,16 @@
         whole = ending is Ending.DONE and told in (Told.HIT, Told.FILLED, Told.FROM_ORIGIN)
         if whole and self.permits.reports:
             own, fill = self._own(flight), told is not Told.HIT
-            took = max(MS, outcome.elapsed - (outcome.waited or 0))
+            took = max(MS, outcome.elapsed - (outcome.report.waited or 0))
             if own and self.roster.be[sent.be].tier is Tier.CACHE:
                 self.paces[fill] += PACE_NEW * (math.log(took / own) - self.paces[fill])
-                if fill and outcome.link_in is None:  # untold, it shows: fills are slower than hits
+                if fill and outcome.report.link_in is None:  # untold, it shows: fills are slower than hits
                     self.link_in = (now, math.exp(self.paces[True] - self.paces[False]))
         if self.roster.be[sent.be].tier is not Tier.CACHE or ending in (Ending.LACKING, Ending.CALLED_OFF):
             return
         timely = ending is Ending.DONE and outcome.elapsed <= self._target(flight)
         if ending is Ending.DONE and self.permits.reports and not flight.req.size_kb:  # large ones are late
-            timely = (outcome.waited or 0) <= flight.vhost.first_byte_target
+            timely = (outcome.report.waited or 0) <= flight.vhost.first_byte_target
         late = ending in (Ending.DONE, Ending.LATE) and not timely
         late |= told in (Told.SOURCE_FULL, Told.SOURCE_LOST, Told.NO_PLACE, Told.ORIGIN_LOST)
         filled = sent.source != sent.be and told is not Told.HIT
--- a/quartzrouter/interface.py
+++ b/quartzrouter/interface.py
@@ -137,6 +137,15 @@
     dispatches: int = 0  # at most, where fewer than permitted; 0: as permitted
 
 
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What an answer says besides, where answers carry it."""
+
+    waited: int | None = None  # for the source's first byte, or its failure
+    busy: float | None = None  # the share of its capacity that the server says is in use
+    link_in: float | None = None  # a cache's: transfers on its location's link over those that fit
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     hop: int
@@ -144,9 +153,7 @@
     elapsed: int
     told: Told = Told.NOTHING
     over: bool = False  # the req has its final answer
-    waited: int | None = None  # for the source's first byte, or its failure
-    link_in: float | None = None  # a cache's: transfers on its location's link over those that fit
-    busy: float | None = None  # the share of its capacity that the server reported to be in use
+    report: Report = Report()
 
 
 # -- the answers -----------------------------------------------------------------------------------
--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -11,7 +11,7 @@
 import anyio
 import h11
 
-from quartzrouter.interface import Ending, Told
+from quartzrouter.interface import Ending, Report, Told
 from quartzrouter.net.progress import LOST, Cause, Failure, Stage
 from quartzrouter.net.reducer import Event, Head, Over, Probe, Probed, Ready, Write
 from quartzrouter.net.ring import Ring
@@ -132,9 +132,10 @@
 class Backend:
     def __init__(
         self, feed: Callable[[Event], None], most: int, room: int, idle_most: float, connect_within: float,
-        copy_of: Callable[[dict[str, str]], Any] | None = None,
+        copy_of: Callable[[dict[str, str]], Any] | None = None, reports: bool = False,
     ):  # fmt: skip
         self.feed, self.most, self.room, self.copy_of = feed, most, Room(room), copy_of
+        self.reports = reports  # whether answers are read for them
         self.idle_most, self.connect_within = idle_most * IDLE_SHARE, connect_within
         self.pool: dict[str, list[Line]] = {}  # by the cache's id, last used last
         self.open = 0  # connections, and those that are coming up
@@ -223,7 +224,7 @@
             while not isinstance(event := await line.next(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     stage = Stage.ANSWERED
-                    head = read_head(ticket, hop, event, self.copy_of)
+                    head = read_head(ticket, hop, event, self.copy_of, self.reports)
                     self.feed(head)
                     need = ANSWER_MOST if head.length is None else head.length
                     await self.room.take(need)
@@ -304,8 +305,9 @@
 
 
 def read_head(
-    ticket: int, hop: int, response: h11.Response, copy_of: Callable[[dict[str, str]], Any] | None = None
-) -> Head:
+    ticket: int, hop: int, response: h11.Response, copy_of: Callable[[dict[str, str]], Any] | None = None,
+    reports: bool = False,
+) -> Head:  # fmt: skip
     fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in response.headers}
     length, status = fields.get("content-length"), response.status_code
     if status == 200 and length is None and "chunked" not in fields.get("transfer-encoding", ""):
@@ -318,11 +320,18 @@
     told = TOLD[tell] if tell else Told.NOTHING
     never_ran = fields.get("x-no-effect") == "1"
     copy = copy_of(fields) if copy_of and marked else None
-    waited, load = read_number(fields.get("x-ttfb")), read_load(fields.get("x-report", ""))
+    report = read_report(fields) if reports else Report()
     return Head(
-        ticket, hop, status, int(length) if length is not None else None, never_ran, marked, told, copy,
-        None if waited is None else int(waited * 1000), load.get("busy", load.get("util")), load.get("x1"),
-    )  # fmt: skip
+        ticket,
+        hop,
+        status,
+        int(length) if length is not None else None,
+        never_ran,
+        marked,
+        told,
+        copy,
+        report,
+    )
 
 
 def read_number(text: str | None) -> float | None:
@@ -334,7 +343,12 @@
     return value if 0 <= value < FIGURE_MOST else None
 
 
-def read_load(text: str) -> dict[str, float]:
-    """The load report, as in `busy:0.61;x1:1.2`."""
-    pairs = (field.partition(":") for field in text[:REPORT_MOST].split(";"))
-    return {name.strip(): value for name, _, told in pairs if (value := read_number(told)) is not None}
+def read_report(fields: dict[str, str]) -> Report:
+    """Of a load report as in `busy:0.61;x1:1.2`, and of the milliseconds until the source's first byte."""
+    pairs = (field.partition(":") for field in fields.get("x-report", "")[:REPORT_MOST].split(";"))
+    load, waited = (
+        {name.strip(): read_number(told) for name, _, told in pairs},
+        read_number(fields.get("x-ttfb")),
+    )
+    busy = load.get("busy", load.get("util"))
+    return Report(None if waited is None else int(waited * 1000), busy, load.get("x1"))
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -10,7 +10,7 @@
 
 from quartzrouter.control import Router
 from quartzrouter.desk import ASK_WAIT, Desk
-from quartzrouter.interface import Dispatch, Ending, Outcome, Req, State, Told
+from quartzrouter.interface import Dispatch, Ending, Outcome, Report, Req, State, Told
 from quartzrouter.net import answer
 from quartzrouter.net.journal import Lines, Purge
 from quartzrouter.net.progress import Failure
@@ -66,9 +66,7 @@
     marked: bool  # with the tag and the time of the copy
     told: Told
     copy: Any = None  # what else an installation of our own reads of it
-    waited: int | None = None  # us until the source's first byte
-    busy: float | None = None  # the share of its capacity that the cache says is in use
-    link_in: float | None = None  # how full the cache says its location's link is; a parent, its fetches
+    report: Report = Report()
 
 
 class Over(NamedTuple):
@@ -417,12 +415,11 @@
             self.effects.append(Drop(ticket, going.answer.hop))
         hand = self.hands[ticket]
         hand.going = None
-        head, told = going.head, going.head.told if going.head else Told.NOTHING
-        load = {"waited": head.waited, "busy": head.busy, "link_in": head.link_in} if head else {}
+        told, report = (going.head.told, going.head.report) if going.head else (Told.NOTHING, Report())
         over = hand.gone or ending is Ending.DONE
         if over:
             self.hands.pop(ticket, None)
-        self.ended(ticket, Outcome(going.answer.hop, ending, now - going.since, told, over, **load), now)
+        self.ended(ticket, Outcome(going.answer.hop, ending, now - going.since, told, over, report), now)
 
     def _reply(self, ticket: int, data: bytes) -> None:
         """The end of a req, unless its client has gone."""
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -68,6 +68,7 @@
         self.backend = Backend(
             self.feed, post.sockets - clients - RESERVE, post.memory // HELD_SHARE,
             post.briefing.idle_most / 1e6, post.briefing.connect_within / 1e6, self._copy_of(),
+            post.briefing.arguments["permits"].reports,
         )  # fmt: skip
         self.journal = journal.Journal(post.journal, post.position, post.briefing, self.feed, self.report)
         self.flights: dict[tuple[int, int], Flight] = {}
