Tests of the reports shape: one fixture, and the two lines that no test had held

Missed were the drill's passing on of an answer's load (wire.outcome()) and the decisions' passing over of reports that the settings don't name (Router.after()). Both have a test now that fails without them, as has the putting out of a cache by its time-outs, which none showed alone.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -217,6 +217,12 @@
     return Drive(trace, **getattr(request, "param", {}))
 
 
+@pytest.fixture
+def told(trace):
+    """Load is told in answers, and nothing may be probed."""
+    return Drive(trace, probes=False, reports=True)
+
+
 @pytest.fixture
 def play(trace):
     return Play(trace)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,7 @@
 import pytest
 
 from quartzrouter import control
-from quartzrouter.interface import Ending, Tier, Told
+from quartzrouter.interface import Dispatch, Ending, Tier, Told
 
 
 def test_walk_grows_past_busy_caches_and_shrinks_after_quiet(drive):
@@ -232,80 +232,77 @@
             drive.req(100 + n, "page", f"p{n}")
 
 
-ROOM = {"probes": False, "reports": True}  # load is told in answers, nothing may be probed
-
-
-@pytest.mark.parametrize("drive", [ROOM], indirect=True)
-def test_a_cache_that_reports_room_is_not_taken_for_full(drive):
+def test_a_cache_that_reports_room_is_not_taken_for_full(told):
     """One router's few reqs, times the routers, denied what caches had room for (6% on a quiet day)."""
-    for told in ("new", "old"):
+    for age in (0, 2_100):
         for n in range(20):
-            drive.req(n, "clip", f"o{n}", quiet=True)
-            drive.end(n, Ending.DONE, Told.HIT, elapsed=300, quiet=True, busy=0.3)
-        drive.pass_(2_100 if told == "old" else 0)
-        for n in range(30, 60):
-            drive.req(n, "clip", f"a{n}", kb=900, quiet=True)
-        taken = [n for n in range(30, 60) if n in drive.router.flights]
-        drive.print(f"with {told} reports {len(taken)} of 30 reqs are dispatched")
+            told.req(n, "clip", f"o{n}", quiet=True)
+            told.end(n, Ending.DONE, Told.HIT, elapsed=300, quiet=True, busy=0.3)
+        told.pass_(age)
+        taken = [
+            n for n in range(30, 60) if isinstance(told.req(n, "clip", f"a{n}", 900, quiet=True), Dispatch)
+        ]
+        told.print(f"with reports {age} ms old {len(taken)} of 30 reqs are dispatched")
         for n in taken:
-            drive.end(n, Ending.DONE, Told.HIT, quiet=True)
+            told.end(n, Ending.DONE, Told.HIT, quiet=True)
 
 
-@pytest.mark.parametrize("drive", [ROOM], indirect=True)
-def test_among_reports_an_object_of_untold_size_has_its_time(drive):
+def test_among_reports_an_object_of_untold_size_has_its_time(told):
     """A time-out of targets cut off, and sent again, whatever is much larger than the mean."""
     for kb in (0, 200):
-        drive.print(f"{kb} KB: {drive.req(kb, 'clip', f'o{kb}', kb=kb).timeout // 1000} ms")
+        told.print(f"{kb} KB: {told.req(kb, 'clip', f'o{kb}', kb=kb).timeout // 1000} ms")
 
 
-@pytest.mark.parametrize("drive", [ROOM], indirect=True)
-def test_a_large_fill_of_untold_size_is_late_by_its_first_byte_only(drive):
+def test_a_large_fill_of_untold_size_is_late_by_its_first_byte_only(told):
     for waited in (60, 900):
         for n in range(2):
-            drive.req(n + waited, "clip", f"o{n}", kb=0, quiet=True)
-            drive.end(n + waited, Ending.DONE, Told.FILLED, elapsed=2_000, quiet=True, waited=waited * 1_000)
-        drive.print(
-            f"first bytes after {waited} ms, trouble with fills: {drive.router.fills.troubled(drive.now)}"
-        )
+            told.req(n + waited, "clip", f"o{n}", kb=0, quiet=True)
+            told.end(n + waited, Ending.DONE, Told.FILLED, elapsed=2_000, quiet=True, waited=waited * 1_000)
+        told.print(f"after {waited} ms, trouble with fills: {told.router.fills.troubled(told.now)}")
 
 
-@pytest.mark.parametrize("drive", [ROOM], indirect=True)
-def test_without_probes_a_cache_that_is_back_is_taken_for_cold(drive):
+def test_without_probes_a_cache_that_is_back_is_taken_for_cold(told):
     """Nobody told of its start: all went to it at once, and it fell over (cartes-bretagne, big-1)."""
-    lost = drive.req(0, "clip", "a").be
-    drive.end(0, Ending.NO_CONNECTION, quiet=True)
-    drive.pass_(2_000)
+    lost = told.req(0, "clip", "a").be
+    told.end(0, Ending.NO_CONNECTION, quiet=True)
+    told.pass_(2_000)
     for n in range(1, 8):
-        back = drive.req(n, "clip", "a", quiet=n > 1).be == lost
-        drive.end(n, Ending.DONE, Told.FILLED, quiet=True)
-        drive.print(f"req {n} to {'it' if back else 'another'}")
+        told.print(f"req {n} to {'it' if told.req(n, 'clip', 'a', quiet=True).be == lost else 'another'}")
+        told.end(n, Ending.DONE, Told.FILLED, quiet=True)
 
 
-@pytest.mark.parametrize("drive", [ROOM], indirect=True)
-def test_known_misses_are_filled_as_far_as_the_locations_link_bears(drive):
+def test_without_probes_a_cache_that_hangs_is_put_out_by_its_time_outs(told):
+    for n in range(6):
+        if told.req(n, "clip", "a", kb=0).be == "c2":
+            told.end(n, Ending.LATE, quiet=True)
+        told.end(n, Ending.DONE, Told.HIT, quiet=True)
+
+
+def test_known_misses_are_filled_as_far_as_the_locations_link_bears(told):
     """First bytes come soon on an over-full link, and nothing else showed it (cartes-bretagne, overload)."""
-    for told in (0.5, 4.0):
+    for link in (0.5, 4.0):
         for n in range(20):
-            drive.req(1_000 + n, "clip", f"h{n}", quiet=True)
-            drive.end(1_000 + n, Ending.DONE, Told.HIT, quiet=True, busy=0.3, link_in=told)
-        filled = looked = 0
-        for n in range(100):
-            drive.req(n, "page", f"o{told}{n}", quiet=True)
-            while drive.router.flights[n].out:
-                asked = next(iter(drive.router.flights[n].out.values()))
-                looked += asked.source == asked.be
-                filled += asked.source != asked.be
-                drive.end(n, Ending.DONE if asked.source != asked.be else Ending.LACKING, quiet=True)
-                if n not in drive.router.flights:
-                    break
-            drive.router.left(n)
-        drive.print(f"link told {told}: {looked} looks, {filled} of 100 reqs filled")
-
-
-@pytest.mark.parametrize("drive", [ROOM], indirect=True)
-def test_where_the_link_is_not_told_fills_slower_than_hits_show_it(drive):
+            told.req(n, "clip", f"h{n}", quiet=True)
+            told.end(n, Ending.DONE, Told.HIT, quiet=True, busy=0.3, link_in=link)
+        looked = filled = 0
+        for n in range(100, 200):
+            answer = told.req(n, "page", f"o{link}{n}", quiet=True)
+            while isinstance(answer, Dispatch):
+                look = answer.source == answer.be
+                looked, filled = looked + look, filled + (not look)
+                answer = told.end(n, Ending.LACKING if look else Ending.DONE, quiet=True)
+        told.print(f"link told {link}: {looked} looks, {filled} of 100 reqs filled")
+
+
+def test_where_the_link_is_not_told_fills_slower_than_hits_show_it(told):
     for slow in (1, 6):
         for n in range(40):
-            drive.req(n, "clip", f"o{n}", quiet=True)
-            drive.end(n, Ending.DONE, Told.FILLED if n % 2 else Told.HIT, 200 * (slow if n % 2 else 1), True)
-        drive.print(f"fills {slow} times as slow as hits: link taken for {drive.router.link_in[1]:.1f}")
+            told.req(n, "clip", f"o{n}", quiet=True)
+            told.end(n, Ending.DONE, Told.FILLED if n % 2 else Told.HIT, 200 * (slow if n % 2 else 1), True)
+        told.print(f"fills {slow} times as slow as hits: link taken for {told.router.link_in[1]:.1f}")
+
+
+def test_reports_are_passed_over_where_the_settings_name_none(drive):
+    drive.req(0, "clip", "a", quiet=True)
+    drive.end(0, Ending.DONE, Told.HIT, quiet=True, busy=0.95, link_in=4.0)
+    drive.print(f"busy {drive.router.reports}, link {drive.router.link_in[1]}")
