--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -321,17 +321,8 @@
     never_ran = fields.get("x-no-effect") == "1"
     copy = copy_of(fields) if copy_of and marked else None
     report = read_report(fields) if reports else Report()
-    return Head(
-        ticket,
-        hop,
-        status,
-        int(length) if length is not None else None,
-        never_ran,
-        marked,
-        told,
-        copy,
-        report,
-    )
+    size = int(length) if length is not None else None
+    return Head(ticket, hop, status, size, never_ran, marked, told, copy, report)
 
 
 def read_number(text: str | None) -> float | None:
@@ -346,9 +337,6 @@
 def read_report(fields: dict[str, str]) -> Report:
     """Of a load report as in `busy:0.61;x1:1.2`, and of the milliseconds until the source's first byte."""
     pairs = (field.partition(":") for field in fields.get("x-report", "")[:REPORT_MOST].split(";"))
-    load, waited = (
-        {name.strip(): read_number(told) for name, _, told in pairs},
-        read_number(fields.get("x-ttfb")),
-    )
-    busy = load.get("busy", load.get("util"))
+    load = {name.strip(): read_number(told) for name, _, told in pairs}
+    waited, busy = read_number(fields.get("x-ttfb")), load.get("busy", load.get("util"))
     return Report(None if waited is None else int(waited * 1000), busy, load.get("x1"))
