Limits of a store or the fleet: shares asked for and granted on the ledger's lines

Need: a plan's limit of 20/s is 20/s at each router. Older ledgers and members hear nothing of it: a welcome says whether shares are granted. Asks with other figures than the granter's are refused.

--- a/quartzrouter/cli/ledger.py
+++ b/quartzrouter/cli/ledger.py
@@ -24,10 +24,17 @@
     show_default=True,
     help="A purge holds this long after it is taken.",
 )
+@click.option(
+    "--plan",
+    type=click.Path(dir_okay=False),
+    help="Grant shares of the limits that this plan has across a store or the fleet; read again at SIGHUP.",
+)
 @click.option(
     "--standby", type=ADDRESS, help="Take over the folder once the ledger at this address is silent."
 )
-def run(folder: str, listen: tuple[str, int], grace: int, standby: tuple[str, int] | None) -> None:
+def run(
+    folder: str, listen: tuple[str, int], grace: int, plan: str | None, standby: tuple[str, int] | None
+) -> None:
     """Take purges and hand them to the fleet until SIGTERM; exit with 3 if another ledger took over."""
     import anyio
 
@@ -36,14 +43,38 @@
     from quartzrouter.net.serve import clock
     from quartzrouter.site.logs import Structured, logger
 
-    report = Structured("ledger", clock, logger())
+    report, budgets = Structured("ledger", clock, logger()), _budgets(plan) if plan else None
     try:
-        sys.exit(anyio.run(serve.serve, folder, listen, grace, report, standby, backend_options=LOOP))
+        told = (folder, listen, grace, report, standby, clock, budgets)
+        sys.exit(anyio.run(serve.serve, *told, backend_options=LOOP))
+    except Faulty as error:
+        click.echo(f"quartzrouter: {error}", err=True)
+        sys.exit(1)
     except serve.FAULTS as error:
         click.echo(f"quartzrouter: {folder}: {error}", err=True)
         sys.exit(1)
 
 
+class Faulty(ValueError):
+    """A plan that can't be used."""
+
+
+def _budgets(path: str):
+    """Reads a plan's budgets, each time it is called.  Raises Faulty."""
+    from quartzrouter.force.shared import budgets
+    from quartzrouter.plan.load import load
+
+    def read():
+        loaded = load(path)
+        if loaded.plan is None:
+            faults = loaded.faults.errors
+            more = f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
+            raise Faulty(f"{faults[0].head}{more}; 'quartzrouter plan check {path}' shows all")
+        return budgets(loaded.plan, loaded.plan.stores)
+
+    return read
+
+
 @ledger.command(epilog="Example: quartzrouter ledger check /var/lib/quartzrouter")
 @FOLDER
 def check(folder: str) -> None:
--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -12,6 +12,7 @@
 from quartzrouter.force.limits import Denied, Limits
 from quartzrouter.force.pools import Pools
 from quartzrouter.force.ruling import Ruling, keys, marked, rule, vhost_name
+from quartzrouter.force.shared import budgets, hold
 from quartzrouter.interface import (
     Answer,
     ColdStart,
@@ -30,6 +31,7 @@
 from quartzrouter.plan.model import OF_VHOST, Plan, Pool, belongs
 from quartzrouter.plan.sets import Asked
 from quartzrouter.purges.fleet import Copy, Fleet
+from quartzrouter.sharing.shares import Shares
 
 MS = 1_000
 LOOK_EVERY = 50 * MS  # us between counts of a pool's caches: a cache that fails is out within 50 ms anyway
@@ -70,12 +72,16 @@
 
     :param arguments: those of a Router, for the deployment as a whole.
     :param fleet: the fleet's purges, where there is a ledger of them.
+    :param shares: what this router has of limits that it shares.
     """
 
-    def __init__(self, plan: Plan, arguments: Mapping[str, Any], fleet: Fleet | None = None):
-        self.arguments, self.fleet = dict(arguments), fleet
+    def __init__(
+        self, plan: Plan, arguments: Mapping[str, Any], fleet: Fleet | None = None,
+        shares: Shares | None = None,
+    ):  # fmt: skip
+        self.arguments, self.fleet, self.shares = dict(arguments), fleet, shares
         self.plan, self.matcher = plan, Matcher(plan.routes)
-        self.limits = Limits(plan.limits)
+        self.limits = Limits(plan.limits, shares, arguments["home"])
         self.pools = Pools(plan.pools, plan.splits)
         self.purges = Purges(arguments["purge_life"])  # for routers that come later
         self.lines: dict[str, Listed] = {}
@@ -94,6 +100,8 @@
         """The new plan, from this moment on."""
         self.plan, self.matcher = plan, Matcher(plan.routes)
         self.limits.replace(plan.limits)
+        if self.shares:
+            self.shares.replace(budgets(plan, (self.arguments["home"],)))
         self.pools.replace(plan.pools, plan.splits)
         self.budgets = {name: kept for name, kept in self.budgets.items() if name in plan.policies}
         self.vhosts = self._vhosts()
@@ -174,6 +182,16 @@
         self.rulings[req_id], self.where[req_id] = ruling, self.seats[pool]
         return None
 
+    def timeout(self, ruling: Ruling, told: int) -> int:
+        """us until the client no longer waits.  Where reqs in hand are shared, no longer than is reckoned
+        with: a slot is given to another router once a req that was let through in it must be over.
+
+        :param told: us, by the client; 0: it told none.
+        """
+        limits = [self.plan.limits[name] for name in ruling.route.limits]
+        shared = [each for each in limits if each.concurrent and each.across != "router"]
+        return min([told or ruling.vhost.client_timeout, *(hold(self.plan, each) for each in shared)])
+
     def release(self, req_id: int) -> None:
         """The req has had its final answer."""
         self.limits.release(req_id)
--- a/quartzrouter/force/limits.py
+++ b/quartzrouter/force/limits.py
@@ -8,7 +8,10 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from quartzrouter.force.shared import budget_of
 from quartzrouter.plan.model import Limit
+from quartzrouter.sharing.share import Share
+from quartzrouter.sharing.shares import Shares
 
 KEYS_MOST = 4_096  # kept of one limit: tenants or clients seen lately, 0.7 MB each limit
 NS = 1_000  # in a us: intervals of high rates need the places
@@ -31,10 +34,15 @@
 
 
 class Limits:
-    def __init__(self, limits: dict[str, Limit]):
-        self.limits = limits
+    """:param shares: what limits that routers share leave to this one; None: each router has all of each.
+    :param home: its store.
+    """
+
+    def __init__(self, limits: dict[str, Limit], shares: Shares | None = None, home: str = ""):
+        self.limits, self.shares, self.home = limits, shares, home
         self.counts: dict[str, OrderedDict[str, Count]] = {}
         self.held: dict[int, list[Key]] = {}  # by req: what it counts in
+        self.taken: dict[int, list[Share]] = {}  # by req: the shares it counts in
 
     def replace(self, limits: dict[str, Limit]) -> None:
         """Counts stay where the name stays; reqs in hand are given back wherever they count."""
@@ -50,24 +58,45 @@
         :param now: us.
         """
         counts: list[tuple[Limit, Count]] = []
+        keys, shared = self._parted(keys)
         for key in keys:
             limit, count = self.limits[key.limit], self._count(key, now)
             if denied := self._full(limit, count, value, now):
                 return denied
             counts.append((limit, count))
+        for limit, name in shared:  # last: what others turn away is no demand for a share
+            if come_back := self.shares.may(name, limit.keep_free if value < limit.below else 0.0):
+                return Denied(limit.name, come_back)
         for limit, count in counts:
             if limit.rate:
                 count.due = max(count.due, now * NS) + interval(limit)
             count.in_hand += 1
         if keys:
             self.held[req] = keys
+        if shared:
+            self.taken[req] = [self.shares.take(name) for _, name in shared]
         return None
 
+    def _parted(self, keys: list[Key]) -> tuple[list[Key], list[tuple[Limit, str]]]:
+        """Those that this router counts by itself, and those it shares, with the names of their budgets."""
+        if self.shares is None:
+            return keys, []
+        own, shared = [], []
+        for key in keys:
+            limit = self.limits[key.limit]
+            if budget := budget_of(limit, self.home):
+                shared.append((limit, self.shares.key(budget, key.of)))
+            else:
+                own.append(key)
+        return own, shared
+
     def release(self, req: int) -> None:
         """The req has had its final answer; a second call changes nothing."""
         for key in self.held.pop(req, ()):
             if (count := self.counts.get(key.limit, {}).get(key.of)) is not None:
                 count.in_hand -= 1
+        for share in self.taken.pop(req, ()):
+            share.ended()
 
     def _full(self, limit: Limit, count: Count, value: float, now: int) -> Denied | None:
         room = limit.concurrent
--- /dev/null
+++ b/quartzrouter/force/shared.py
@@ -0,0 +1,46 @@
+"""The budgets that a plan's limits name: one for the fleet, or one for each store."""
+
+from collections.abc import Iterable
+
+from quartzrouter.plan.model import Limit, Plan
+from quartzrouter.sharing.budget import Budget
+
+AT = "@"  # between a limit's name and the store's: in no name
+
+
+def budgets(plan: Plan, stores: Iterable[str]) -> list[Budget]:
+    """What routers of those stores share; whoever grants names all stores, a router its own."""
+    found = []
+    for limit in plan.limits.values():
+        if limit.across == "fleet":
+            found.append(_budget(plan, limit, limit.name, plan.deployment["routers"]))
+        elif limit.across == "store":
+            here = plan.deployment["routers_here"] or plan.deployment["routers"]
+            found += [_budget(plan, limit, f"{limit.name}{AT}{store}", here) for store in stores]
+    return found
+
+
+def budget_of(limit: Limit, home: str) -> str:
+    """The name of the budget in which a router of that store counts; nothing: it counts by itself."""
+    return {"fleet": limit.name, "store": f"{limit.name}{AT}{home}"}.get(limit.across, "")
+
+
+def hold(plan: Plan, limit: Limit) -> int:
+    """us for which a req may be in hand in it: the longest client timeout of its routes."""
+    return max(
+        (plan.vhosts[each.vhost].client_timeout for each in plan.routes if limit.name in each.limits),
+        default=0,
+    )
+
+
+def _budget(plan: Plan, limit: Limit, name: str, routers: int) -> Budget:
+    return Budget(
+        name,
+        limit.rate,
+        float(limit.burst),
+        limit.concurrent,
+        hold(plan, limit) if limit.concurrent else 0,
+        limit.floors,
+        routers,
+        limit.life,
+    )
--- a/quartzrouter/ledger/serve.py
+++ b/quartzrouter/ledger/serve.py
@@ -1,6 +1,7 @@
 """The ledger's process: takes purges, makes them durable, and hands them to its members in their order."""
 
 import signal
+from collections import deque
 from collections.abc import Callable
 
 import anyio
@@ -11,12 +12,16 @@
 from quartzrouter.ledger.wire import Client, Unreachable, lines
 from quartzrouter.net.progress import LOST
 from quartzrouter.net.report import Report
-from quartzrouter.net.serve import clock
+from quartzrouter.net.serve import clock, steady
 from quartzrouter.purges import words
 from quartzrouter.purges.attempts import Watch
 from quartzrouter.purges.book import Admitted, Book, Member
 from quartzrouter.purges.lease import beat_every, lease
-from quartzrouter.purges.words import AskMembers, AskStatus, Beat, Caught, Hello, Refused, Send, Taken
+from quartzrouter.purges.words import (
+    AskBudgets, AskMembers, Asks, AskStatus, Beat, Budgets, Caught, Grants, Hello, Refused, Send, Taken,
+)  # fmt: skip
+from quartzrouter.sharing.budget import Ask, Budget, Refusal
+from quartzrouter.sharing.granter import Granter
 
 BATCH = 4_096  # purges made durable at once: 1 MB
 COMPACT_AFTER = 50_000  # purges since the last snapshot, 10 MB
@@ -25,6 +30,7 @@
 CONNECTIONS_MOST = 8_192  # routers, caches and clients
 COME_BACK = 1_000_000  # us, where the disk takes nothing
 FENCED = 3  # exit status
+GRANTS_WAIT = 16  # answers to one member that takes nothing: older ones have run out
 
 
 class Session:
@@ -34,6 +40,12 @@
         self.member, self.sent = member, sent
         self.scope = anyio.CancelScope()
         self.caught: dict[str, int] | None = None  # as last told
+        self.news = anyio.Event()  # something to tell
+        self.grants: deque[Grants] = deque(maxlen=GRANTS_WAIT)
+
+    def wake(self) -> None:
+        self.news.set()
+        self.news = anyio.Event()
 
 
 class Waiter:
@@ -46,11 +58,14 @@
 class Ledger:
     """:param grace: us within which a purge must hold at every router.
     :param clock: us.
+    :param budgets: of which it grants shares to routers.
+    :param steady: reads the monotonic clock, us.
     """
 
     def __init__(
         self, disk: Disk, grace: int, report: Report, clock: Callable[[], int] = clock,
-        compact_after: int = COMPACT_AFTER,
+        compact_after: int = COMPACT_AFTER, budgets: list[Budget] | None = None,
+        steady: Callable[[], int] = steady,
     ):  # fmt: skip
         self.clock, self.now, self.report, self.compact_after = clock, 0, report, compact_after
         self.log = Log(disk)
@@ -64,7 +79,10 @@
         self.every = beat_every(grace) / 1e6
         self.sessions: dict[str, Session] = {}
         self.waiting: dict[int, list[Waiter]] = {}
-        self.wanted, self.news = anyio.Event(), anyio.Event()
+        self.wanted = anyio.Event()
+        self.steady = steady
+        self.granter = Granter(budgets, steady()) if budgets else None
+        self.strangers = 0  # asks in a name that is not the member's
         self.connections = 0
         self.caught: dict[str, int] = {}  # as members are told: where caches stand
         self.fenced = False
@@ -137,8 +155,8 @@
         self.scope.cancel()
 
     def _wake(self) -> None:
-        self.news.set()
-        self.news = anyio.Event()
+        for session in self.sessions.values():
+            session.wake()
 
     async def _tick(self) -> None:
         while True:
@@ -218,6 +236,8 @@
                 return self.book.status(number, self._time())
             case AskMembers():
                 return self.book.told_members(self._time())
+            case AskBudgets():
+                return self._budgets()
         return Refused("line", f"{type(said).__name__} before any hello", "say hello first")
 
     @staticmethod
@@ -264,6 +284,47 @@
             self.book.ack(session.member, said.held, said.mark, said.away, now)
         elif isinstance(said, words.Leave):
             self.book.leave(session.member, now)
+        elif isinstance(said, Asks) and self.granter:
+            self._grant(session, said)
+
+    def _grant(self, session: Session, said: Asks) -> None:
+        """Grants what is asked for, unless another writer has begun: what it grants ends by itself.
+
+        Where this process is stopped between the look and the sending, a grant comes late; its end counts
+        from the asking, which was before the look, and whoever took over waits for as long with slots.
+        """
+        try:
+            self.log.check()
+        except Fenced as error:
+            self._fence(error)
+            return
+        grants, refused, member = [], {}, session.member
+        for ask in said.asks[: words.ASKS_MOST]:
+            given = self._granted(ask, member)
+            if isinstance(given, Refusal):
+                refused[ask.budget] = given
+                self.report.say("shares", f"{member.name}: {ask.budget:.60}: {given.place}: {given.reason}")
+            else:
+                grants.append(given)
+        session.grants.append(Grants(tuple(grants), refused))
+        session.wake()
+
+    def _granted(self, ask: Ask, member: Member):
+        if (ask.name, ask.token) != (member.name, member.token):
+            self.strangers += 1
+            return Refusal("name", f"{ask.name!r:.40} asks on another's line", "mend the sender")
+        return self.granter.ask(ask, self.steady())
+
+    def _budgets(self) -> Budgets:
+        if self.granter is None:
+            return Budgets(self.book.epoch, (), 0)
+        states = self.granter.told(self.steady())[-words.PAGE :]
+        return Budgets(self.book.epoch, tuple(states), self.granter.refused + self.strangers)
+
+    def replace(self, budgets: list[Budget]) -> None:
+        """The plan was read anew."""
+        if self.granter:
+            self.granter.replace(budgets, self.steady())
 
     async def _write(self, stream: anyio.abc.ByteStream, session: Session, hello: Hello) -> None:
         async def send(*said: words.FromLedger) -> None:
@@ -271,14 +332,17 @@
                 await stream.send(b"".join(map(words.line, said)))
 
         book, beat_at = self.book, 0.0
-        await send(words.Welcome(book.epoch, book.head, self._time(), book.lease))
+        welcome = words.Welcome(book.epoch, book.head, self._time(), book.lease, self.granter is not None)
+        await send(welcome)
         if book.too_far(session.sent, hello.life, self._time()):
             pages = book.snapshot(hello.life, self._time())
             session.sent = pages[-1].head
             for page in pages:
                 await send(page)
         while True:
-            news = self.news
+            news = session.news
+            while session.grants:
+                await send(session.grants.popleft())
             while session.sent < book.head:
                 news_of = book.news(session.sent)
                 session.sent += len(news_of)
@@ -330,20 +394,36 @@
     report: Report,
     standby: tuple[str, int] | None = None,
     clock: Callable[[], int] = clock,
+    budgets: Callable[[], list[Budget]] | None = None,
+    steady: Callable[[], int] = steady,
 ) -> int:
     """The exit status: 0 at SIGTERM, 3 where another ledger has taken over.
 
-    Raises OSError, Damaged and Refusing before anything is served.
+    :param budgets: reads those of which it grants shares, at the start and at SIGHUP; raises ValueError.
+
+    Raises OSError, ValueError, Damaged and Refusing before anything is served.
     """
-    status = 0
+    status, ledger = 0, None
 
     async def stop(scope: anyio.CancelScope) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
             async for number in received:
+                if number == signal.SIGHUP:
+                    await reread()
+                    continue
                 report.say("process", f"{number.name}: stopping")
                 scope.cancel()
                 return
 
+    async def reread() -> None:
+        if budgets is None or ledger is None:
+            return
+        try:
+            ledger.replace(found := await anyio.to_thread.run_sync(budgets))
+            report.say("shares", f"SIGHUP: {len(found)} budgets")
+        except (ValueError, OSError) as error:
+            report.say("shares", f"SIGHUP: nothing changes: {error}")
+
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(stop, tasks.cancel_scope)
         listeners = await _listeners(address)
@@ -352,7 +432,8 @@
                 await listener.aclose()
             await _watch(standby, grace, report)
             listeners = await _listeners(address)
-        ledger = Ledger(RealDisk(folder), grace, report, clock)
+        found = budgets() if budgets else None
+        ledger = Ledger(RealDisk(folder), grace, report, clock, budgets=found, steady=steady)
         report.say(
             "process",
             f"epoch {ledger.book.epoch}, purges up to {ledger.book.head}, at {address[0]}:{address[1]}",
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -40,11 +40,19 @@
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
 
 
+STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 def clock() -> int:
     """Unix time in whole microseconds."""
     return time.time_ns() // 1000
 
 
+def steady() -> int:
+    """Whole microseconds of the machine's clock that nobody sets, and that goes on while it sleeps."""
+    return time.clock_gettime_ns(STEADY) // 1000
+
+
 class Flight:
     """A dispatch's task, and the way to hand it what to write."""
 
--- a/quartzrouter/plan/build.py
+++ b/quartzrouter/plan/build.py
@@ -257,6 +257,13 @@
                 "give it `keep_free`",
                 "never",
             )
+        if told["across"] != "router" and not self.told.get("purges"):
+            self.check.note(
+                self.place("limits", name, "across"),
+                f"limit '{name}' is shared by a {told['across']}, and no ledger is named that grants shares",
+                "give the plan `purges` with its `ledgers`",
+                "never",
+            )
         burst = told["burst"] or max(1, round(told["rate"] or 0))
         return Limit(
             name,
@@ -266,6 +273,9 @@
             told["concurrent"] or 0,
             told["keep_free"] or 0.0,
             told["below"] or 0.0,
+            told["across"],
+            told["floors"],
+            told["share_life"],
         )
 
     def _pool(self, name: str, told: dict[str, Any]) -> Pool | None:
--- a/quartzrouter/plan/explain.py
+++ b/quartzrouter/plan/explain.py
@@ -67,7 +67,8 @@
     for name in route.limits:
         limit = plan.limits[name]
         lines.append(_line(plan, "limit", f"{name} per {limit.per}", "limits", name))
-        for key in ("rate", "burst", "concurrent", "keep_free", "below"):
+        shared = ("across", "floors", "life") if limit.across != "router" else ()
+        for key in ("rate", "burst", "concurrent", "keep_free", "below", *shared):
             if getattr(limit, key):
                 lines.append(_value(plan, f"  {key}", getattr(limit, key), "limits", name, key))
     behind = plan.routes[route.order + 1 :]
--- a/quartzrouter/plan/model.py
+++ b/quartzrouter/plan/model.py
@@ -68,6 +68,9 @@
     concurrent: int = 0  # 0: any
     keep_free: float = 0.0
     below: float = 0.0
+    across: str = "router"  # or store or fleet: what all routers of it share
+    floors: float = 0.0  # share of it that routers have whoever hears nothing
+    life: int = 0  # us of a granted share
 
 
 @dataclass(frozen=True, slots=True)
--- a/quartzrouter/plan/vocabulary.py
+++ b/quartzrouter/plan/vocabulary.py
@@ -219,6 +219,17 @@
         "concurrent": Entry(of=whole(1, 1_000_000), doc="reqs in hand at once"),
         "keep_free": Entry(of=share(1), doc="of `concurrent`, for reqs of more value"),
         "below": Entry(of=number(0, 1_000_000), doc="reqs of less value than this leave keep_free alone"),
+        "across": Entry(
+            of=Choice(of=("router", "store", "fleet")),
+            default="router",
+            doc="who shares it: each router has it for itself, or all of the store or fleet together",
+        ),
+        "floors": Entry(
+            of=share(), default=0.2, doc="of it, for routers that hear nothing: each an equal part"
+        ),
+        "share_life": Entry(
+            of=duration("100ms", "1min"), default=1_000_000, doc="a granted share is worth nothing after it"
+        ),
     },
 )
 MATCH = RecordOf(
--- a/quartzrouter/purges/follower.py
+++ b/quartzrouter/purges/follower.py
@@ -5,7 +5,18 @@
 
 from quartzrouter.purges import words
 from quartzrouter.purges.lease import Lease
-from quartzrouter.purges.words import Ack, Beat, Caught, Hello, MemberKind, Purge, Refused, Snapshot, Welcome
+from quartzrouter.purges.words import (
+    Ack,
+    Beat,
+    Caught,
+    Hello,
+    MemberKind,
+    Grants,
+    Purge,
+    Refused,
+    Snapshot,
+    Welcome,
+)
 
 OFFSETS = 64  # beats over which the nearest clock reading is taken; 2 s at a grace of 300 ms
 MARKS_MOST = 256  # acks that wait for their echo: more than a lease's worth tell nothing
@@ -40,7 +51,7 @@
     come_back: int = COME_BACK
 
 
-Effect = Apply | Say | End | Caught
+Effect = Apply | Say | End | Caught | Grants
 
 
 class Follower:
@@ -63,7 +74,7 @@
 
     def begin(self, now: int) -> Hello:
         """A new connection: nothing said on the last one counts any more."""
-        self.welcomed = False
+        self.welcomed = self.grants = False  # grants: this ledger grants shares of budgets
         self.mark = 0
         self.sent: dict[int, int] = {}  # us when each ack was sent, by mark
         self.pages: list[Purge] = []
@@ -88,7 +99,7 @@
                 return self._snapshot(said, now)
             case Beat():
                 return self._beat(said, now)
-            case Caught():
+            case Caught() | Grants():
                 return [said]
         return [End(f"a {type(said).__name__} that nobody asked for")]
 
@@ -105,7 +116,7 @@
             return [End(f"epoch {said.epoch} is over, {self.epoch} has begun")]
         if said.epoch > self.epoch:
             self.offsets.clear()  # another process, perhaps another clock
-        self.epoch, self.welcomed = said.epoch, True
+        self.epoch, self.welcomed, self.grants = said.epoch, True, said.grants
         self.lease.length = min(self.lease.length, said.lease) if said.lease else self.lease.length
         self.offsets.append(now - said.now)
         if said.head < self.held:
--- a/quartzrouter/purges/words.py
+++ b/quartzrouter/purges/words.py
@@ -9,11 +9,14 @@
 
 import msgspec
 
+from quartzrouter.sharing.budget import Ask, Grant, Refusal, State
+
 LINE_MOST = 1 << 18  # bytes of one line: a page of 512 purges, each of a few hundred; see page()
 VALUES_MOST = 64  # of one purge: more are several purges
 VALUE_MOST = 512  # characters: longer paths are purged by a pattern
 TOGETHER_MOST = 4_096  # characters of one purge's values: caches take heads of 8 KB
 PAGE = 512  # purges in one line
+ASKS_MOST = 512  # for shares, in one line
 KEY = re.compile(r"[\x21-\x7e]{1,64}")
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:-]{0,62}")
 WORD = re.compile(rf"[\x21-\x7e]{{1,{VALUE_MOST}}}")
@@ -101,7 +104,17 @@
     """Who is there, and how far."""
 
 
-ToLedger = Send | Hello | Ack | Leave | AskStatus | AskMembers
+class Asks(msgspec.Struct, tag_field="say", tag="asks"):
+    """A member asks for shares of budgets; said to a ledger only whose welcome says that it grants them."""
+
+    asks: tuple[Ask, ...]
+
+
+class AskBudgets(msgspec.Struct, tag_field="say", tag="budgets"):
+    """How the budgets stand."""
+
+
+ToLedger = Send | Hello | Ack | Leave | AskStatus | AskMembers | Asks | AskBudgets
 
 
 # -- from the ledger ---------------------------------------------------------------------------------------
@@ -138,12 +151,14 @@
     :param head: the number of the last purge that is durable.
     :param now: us, the ledger's clock.
     :param lease: us after the sending of an acknowledgement that has been echoed.
+    :param grants: it grants shares of budgets; a ledger of before the word says nothing of it.
     """
 
     epoch: int
     head: int
     now: int
     lease: int
+    grants: bool = False
 
 
 class Purges(msgspec.Struct, tag_field="say", tag="purges"):
@@ -217,7 +232,30 @@
     members: tuple[MemberLine, ...]
 
 
-FromLedger = Taken | Refused | Welcome | Purges | Snapshot | Beat | Caught | Status | Members
+class Grants(msgspec.Struct, tag_field="say", tag="grants"):
+    """The answer to asks for shares.
+
+    :param refused: those not obeyed, by their budgets.
+    """
+
+    grants: tuple[Grant, ...]
+    refused: dict[str, Refusal] = {}
+
+
+class Budgets(msgspec.Struct, tag_field="say", tag="budgets"):
+    """How the budgets stand; at most PAGE of them, those asked for last.
+
+    :param refused: asks that were not obeyed since the ledger's start.
+    """
+
+    epoch: int
+    budgets: tuple[State, ...]
+    refused: int
+
+
+FromLedger = (
+    Taken | Refused | Welcome | Purges | Snapshot | Beat | Caught | Status | Members | Grants | Budgets
+)
 
 _encoder = msgspec.json.Encoder()
 _to_ledger = msgspec.json.Decoder(ToLedger)
--- a/quartzrouter/sharing/budget.py
+++ b/quartzrouter/sharing/budget.py
@@ -6,14 +6,16 @@
 which every router has whoever hears nothing.
 """
 
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 from typing import NamedTuple
+from zlib import crc32
 
 S = 1_000_000  # us
 DRIFT = 200  # parts in a million by which a clock may be fast or slow: crystals stay under 100
 LIFE = 1 * S  # us of a share, from when it was asked for: a cut-off router is on its floor after that
 ASKS = 4  # in a life: two may be lost or late
 ASKS_MOST = 32  # in a life, of a budget with a small burst
+OF = "/"  # between a budget's name and whom it counts by itself, a tenant say: in no name
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +74,11 @@
         full = int(self.shared_burst / self.shared_rate * S / 2) if self.shared_rate else usual
         return max(self.life // ASKS_MOST, min(usual, full))
 
+    @property
+    def figures(self) -> int:
+        """By which two parties see that they speak of the same terms, whatever they call them."""
+        return crc32(repr(astuple(self)[1:]).encode())
+
     def ends(self, asked: int) -> int:
         """us of the holder's clock at which a share ends that it asked for then."""
         return asked + self.life - slack(self.life)
@@ -107,6 +114,7 @@
     :param left: tokens that it holds and hasn't used.
     :param keep: slots to which it has confined itself, from this word on.
     :param slots: that it would use.
+    :param figures: of the budget as the router's plan has it.
     """
 
     budget: str
@@ -117,6 +125,7 @@
     left: float = 0.0
     keep: int = 0
     slots: int = 0
+    figures: int = 0
 
 
 class Grant(NamedTuple):
@@ -139,3 +148,34 @@
     place: str
     reason: str
     remedy: str
+
+
+class Holding(NamedTuple):
+    """What a granter knows of one router's part in a budget.
+
+    :param want: tokens a second.
+    :param slots: that it may have in use.
+    :param heard: us since its last ask.
+    """
+
+    name: str
+    want: float
+    slots: int
+    heard: int
+
+
+class State(NamedTuple):
+    """A budget as its granter sees it.
+
+    :param tokens: in the bucket.
+    :param granted: tokens, since the granter began.
+    :param waits: us until slots are granted, which an earlier granter's may still be in use for.
+    """
+
+    budget: str
+    rate: float
+    slots: int
+    tokens: float
+    granted: float
+    waits: int
+    holders: tuple[Holding, ...]
--- a/quartzrouter/sharing/granter.py
+++ b/quartzrouter/sharing/granter.py
@@ -4,12 +4,16 @@
 restarts, or takes over from one that has stopped, grants nothing that the other may have granted too.
 """
 
-from dataclasses import dataclass, field
+from collections import OrderedDict
+from dataclasses import dataclass, field, replace
 
-from quartzrouter.sharing.budget import ASKS, Ask, Budget, Grant, Refusal, S
+from quartzrouter.sharing.budget import ASKS, OF, Ask, Budget, Grant, Holding, Refusal, S, State
 
 HEARD_LIVES = 1  # lives since a router's last ask for which its wants still count
 HOLDERS_MOST = 4_096  # names a budget: those unheard for longest go first
+POTS_MOST = 4_096  # budgets, each tenant's counted: those unasked for longest go first
+NAME_MOST = 256  # characters of a budget's name
+POTS_LOOKED_AT = 16  # for one whose slots are all over
 ASIDE = "\n"  # between a name and the token of a process that another has followed: in no name
 WANT_MOST = 1e9  # tokens a second: what is more is no figure
 
@@ -35,6 +39,7 @@
     since: int  # when the bucket was last filled
     wait_until: int  # slots that an earlier granter gave may be in use until then
     tokens: float = 0.0
+    granted: float = 0.0  # in all
     holders: dict[str, Holder] = field(default_factory=dict)
 
     def known(self, said: Ask) -> Holder | None:
@@ -53,36 +58,88 @@
 
 
 class Granter:
-    """:param budgets: in force.
+    """:param budgets: in force.  One that counts many by themselves has a pot for each, made when asked for.
     :param now: us, of its monotonic clock.
     :param alone: no granter was there before; else what it may have granted is waited for.
     """
 
     def __init__(self, budgets: list[Budget], now: int, alone: bool = False):
-        self.pots = {each.name: Pot(each, now, now if alone else each.gone(now)) for each in budgets}
+        self.budgets = {each.name: each for each in budgets}
+        self.pots: OrderedDict[str, Pot] = OrderedDict()  # the one asked for last at the end
+        self.empty_at = dict.fromkeys(self.budgets, now)  # pots that are not there yet fill from then on
+        self.free_at = {each.name: now if alone else each.gone(now) for each in budgets}
         self.refused = 0  # asks that were not obeyed
+        for name in self.budgets:
+            self._pot(name, now)
 
     def replace(self, budgets: list[Budget], now: int) -> None:
         """A new plan: shares that are out run on, so a smaller budget is kept once they have ended."""
-        old, self.pots = self.pots, {}
-        for budget in budgets:
-            pot = old.get(budget.name)
-            if pot is None:
-                self.pots[budget.name] = Pot(budget, now, budget.gone(now))
+        before, self.budgets = self.budgets, {each.name: each for each in budgets}
+        empty, self.empty_at = self.empty_at, dict.fromkeys(self.budgets, now)
+        free, self.free_at = self.free_at, {}
+        for name, budget in self.budgets.items():
+            old = before.get(name)
+            self.empty_at[name] = empty[name] if old == budget else now
+            self.free_at[name] = max(free[name], old.gone(now)) if old else budget.gone(now)
+            if old == budget:
+                self.free_at[name] = free[name]
+        for name, pot in list(self.pots.items()):
+            budget = self.budgets.get(name.partition(OF)[0])
+            if budget is None:
+                del self.pots[name]
                 continue
             pot.fill(now)
             if budget.hold < pot.budget.hold or budget.life < pot.budget.life:
                 pot.wait_until = max(pot.wait_until, pot.budget.gone(now))
-            pot.budget = budget
+            pot.budget = replace(budget, name=name)
             pot.tokens = min(pot.tokens, budget.shared_burst)
-            self.pots[budget.name] = pot
+        for name in self.budgets:
+            self._pot(name, now)
+
+    def _pot(self, name: str, now: int) -> Pot | None:
+        """The pot of that name; a new one is as if it had been there all the time, unasked."""
+        if (pot := self.pots.get(name)) is not None:
+            self.pots.move_to_end(name)
+            return pot
+        base = name.partition(OF)[0]
+        if base not in self.budgets or not self._room(now):
+            return None
+        made = Pot(replace(self.budgets[base], name=name), self.empty_at[base], self.free_at[base])
+        self.pots[name] = made
+        return made
+
+    def _room(self, now: int) -> bool:
+        """Makes room for a pot, where there is none: one with nothing in use goes, forgotten as empty."""
+        if len(self.pots) < POTS_MOST:
+            return True
+        for name in list(self.pots)[:POTS_LOOKED_AT]:
+            pot = self.pots[name]
+            if now >= pot.wait_until and all(each.gone <= now for each in pot.holders.values()):
+                del self.pots[name]
+                self.empty_at[name.partition(OF)[0]] = now
+                return True
+        return False
+
+    def told(self, now: int) -> list[State]:
+        """Each budget as it stands."""
+        states = []
+        for name, pot in self.pots.items():
+            pot.fill(now)
+            held = [
+                Holding(who, each.want, each.slots if each.gone > now else 0, now - each.heard)
+                for who, each in pot.holders.items()
+                if ASIDE not in who
+            ]
+            budget, waits = pot.budget, max(0, pot.wait_until - now)
+            states.append(State(name, budget.rate, budget.slots, pot.tokens, pot.granted, waits, tuple(held)))
+        return states
 
     def ask(self, said: Ask, now: int) -> Grant | Refusal:
         """Grants what the budget has for one ask.
 
         :param now: us; the caller has just made sure that no other granter has begun.
         """
-        found = self._refusal(said)
+        found = self._refusal(said, now)
         if found:
             self.refused += 1
             return found
@@ -94,18 +151,24 @@
         holder.want, holder.slots_wanted = said.want, said.slots
         tokens = self._tokens(pot, holder, said, min(due, pot.budget.life), now)
         pot.tokens -= tokens
+        pot.granted += tokens
         return Grant(said.budget, said.token, said.number, tokens, self._slots(pot, holder, said, now))
 
-    def _refusal(self, said: Ask) -> Refusal | None:
-        pot = self.pots.get(said.budget)
-        if pot is None:
+    def _refusal(self, said: Ask, now: int) -> Refusal | None:
+        base = self.budgets.get(said.budget.partition(OF)[0])
+        if base is None or len(said.budget) > NAME_MOST:
             return Refusal("budget", f"there is no budget {said.budget!r:.60}", "read the plan anew")
+        if said.figures != base.figures:
+            return Refusal("figures", f"{base.name} has other figures here", "give both the same plan")
         for place, figure in (("want", said.want), ("left", said.left)):
             if not 0 <= figure <= WANT_MOST:  # what is no number is refused too
                 return Refusal(place, f"{figure} is no figure of tokens", "mend the sender")
         for place, figure in (("keep", said.keep), ("slots", said.slots)):
             if not 0 <= figure <= WANT_MOST:
                 return Refusal(place, f"{figure} is no number of slots", "mend the sender")
+        pot = self._pot(said.budget, now)
+        if pot is None:
+            return Refusal("budget", f"{POTS_MOST} budgets are in use", "count fewer by themselves")
         known = pot.known(said)
         if known and said.number <= known.number:
             return Refusal("number", f"ask {said.number} after {known.number}", "nothing: a late word")
--- a/quartzrouter/sharing/share.py
+++ b/quartzrouter/sharing/share.py
@@ -6,6 +6,7 @@
 from quartzrouter.sharing.budget import Ask, Budget, Grant, S
 
 ASKED_MOST = 64  # asks whose answers may still come: an older one has run out
+WANT_LEAST = 0.05  # tokens a second: less is no demand any more
 
 
 class Purse(NamedTuple):
@@ -20,15 +21,17 @@
     :param name: of the router.
     :param token: of its process.
     :param now: us, of its own monotonic clock; so are all times.
+    :param since: us, from when on the floor's tokens count, where that was earlier.
     """
 
-    def __init__(self, budget: Budget, name: str, token: str, now: int):
+    def __init__(self, budget: Budget, name: str, token: str, now: int, since: int | None = None):
         self.budget, self.name, self.token = budget, name, token
         self.numbers = 0
         self.asked: dict[int, int] = {}  # when, by number, for those not yet answered
         self.purses: deque[Purse] = deque()  # by their end
-        self.floor, self.filled = 0.0, now  # empty at first: a restart may not give a second burst
-        self.floor_from = now + budget.hold  # what a process before this one had in hand is over by then
+        since = now if since is None else since
+        self.floor, self.filled = 0.0, since  # empty at first: a restart may not give a second burst
+        self.floor_from = since + budget.hold  # what a process before this one had in hand is over by then
         self.slots, self.slots_until = 0, now
         self.in_use = self.most_in_use = 0
         self.want, self.since, self.tried = 0.0, now, 0
@@ -36,43 +39,51 @@
 
     # -- using -----------------------------------------------------------------------------------------
 
-    def take(self, now: int) -> int:
-        """Uses a token, and a slot, for one req.
+    def may(self, now: int, kept_free: float = 0.0) -> int:
+        """Whether a req may go now; counts it as wanted.
 
         :param now: us, read right before: a process that was stopped may have woken behind a share's end.
+        :param kept_free: the share of the slots that a req of less value leaves alone.
         :return: 0 where it may go; else us after which to come back: by then more may be granted.
         """
         self.tried += 1
-        if self.budget.slots and self.in_use >= self._slots(now):
+        if self.budget.slots and self.in_use >= int(self._slots(now) * (1 - kept_free)):
             self.denied += 1
             return self.budget.every
         if self.budget.rate and not self._token(now):
             self.denied += 1
             return self.budget.every
+        return 0
+
+    def take(self, now: int, kept_free: float = 0.0) -> int:
+        """Uses a token, and a slot, for one req, where it may go; as `may`."""
+        if come_back := self.may(now, kept_free):
+            return come_back
+        self.use()
+        return 0
+
+    def use(self) -> None:
+        """Uses what was just found: a token, by the sooner end and the floor's last, and a slot."""
+        if self.budget.rate and self.purses:
+            self.purses[0] = self.purses[0]._replace(tokens=self.purses[0].tokens - 1)
+        elif self.budget.rate:
+            self.floor -= 1
+            self.on_floor += 1
         self.in_use += 1
         self.most_in_use = max(self.most_in_use, self.in_use)
-        return 0
 
     def ended(self) -> None:
         """A req that was let through has had its final answer."""
         self.in_use -= 1
 
     def _token(self, now: int) -> bool:
+        """Whether there is a token, granted or of the floor; parts of one join, by the sooner end."""
         while self.purses and (self.purses[0].until <= now or self.purses[0].tokens < 1):
             over = self.purses.popleft()
-            if (
-                over.until > now and self.purses and over.tokens > 0
-            ):  # parts of a token join, by the sooner end
+            if over.until > now and self.purses and over.tokens > 0:
                 self.purses[0] = Purse(over.until, self.purses[0].tokens + over.tokens)
-        if self.purses:
-            self.purses[0] = self.purses[0]._replace(tokens=self.purses[0].tokens - 1)
-            return True
         self._fill(now)
-        if self.floor < 1:
-            return False
-        self.floor -= 1
-        self.on_floor += 1
-        return True
+        return bool(self.purses) or self.floor >= 1
 
     def _fill(self, now: int) -> None:
         if now > self.filled:
@@ -87,6 +98,20 @@
         """Tokens granted and not used."""
         return sum(purse.tokens for purse in self.purses if purse.until > now)
 
+    def rests(self, now: int) -> bool:
+        """Whether it would be the same if it were made anew: nothing in hand or held, and a full floor."""
+        self._fill(now)
+        full = not self.budget.rate or self.floor >= self.budget.floor_burst
+        return full and not self.in_use and not self.granted(now) and now >= self.floor_from
+
+    def replace(self, budget: Budget, now: int) -> None:
+        """A new plan's terms: what was granted by the old ones is given up, what is in hand stays so."""
+        self._fill(now)
+        self.floor = min(self.floor, budget.floor_burst)
+        self.budget, self.slots, self.slots_until = budget, 0, now
+        self.purses.clear()
+        self.asked.clear()
+
     def granted(self, now: int) -> bool:
         """Whether anything granted is in force: else it acts on its floor."""
         return self.left(now) >= 1 or (self.slots > 0 and now < self.slots_until)
@@ -97,6 +122,7 @@
         """What to say next; from then on no more slots than it says are used."""
         seen = self.tried / max(1, now - self.since) * S
         self.want = max(seen, (self.want + seen) / 2)  # rises at once, falls by halves
+        self.want = self.want if self.want >= WANT_LEAST else 0.0
         self.tried, self.since = 0, now
         floor = self.budget.floor_slots if now >= self.floor_from else 0
         wanted = max(0, self.most_in_use + self.most_in_use // 4 + 1 - floor)
@@ -109,7 +135,7 @@
         wanted = wanted if self.budget.slots else 0
         keep = max(self.slots, self.in_use - floor)  # those in use count, also where fewer are held by now
         told = (self.token, self.numbers, self.want, self.left(now), keep, wanted)
-        return Ask(self.budget.name, self.name, *told)
+        return Ask(self.budget.name, self.name, *told, self.budget.figures)
 
     def take_grant(self, said: Grant, now: int) -> bool:
         """Takes an answer in, once; a word that can't be one is counted and not obeyed."""
--- a/quartzrouter/site/asking.py
+++ b/quartzrouter/site/asking.py
@@ -45,7 +45,7 @@
             obj=_token(params, "HTTP_X_SUBJECT") or ruling.obj,
             part=ruling.part,
             group=ruling.group,
-            timeout=int(told) * 1000 if told else vhost.client_timeout,
+            timeout=self.force.timeout(ruling, int(told) * 1000 if told else 0),
             key=key,
             held=_token(params, "HTTP_X_KNOWN"),
             ruling=ruling,
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -17,7 +17,11 @@
 )  # fmt: skip
 from quartzrouter.plan.model import Plan
 from quartzrouter.purges.follower import Apply, End, Follower, Say
-from quartzrouter.purges.words import Caught
+from quartzrouter.purges.words import Asks, Caught, Grants
+from quartzrouter.sharing.budget import Refusal
+
+
+REFUSED_MOST = 64  # kept until they are told of
 
 
 class NewPlan(NamedTuple):
@@ -27,6 +31,10 @@
     lines: Lines | None
 
 
+class AskShares(NamedTuple):
+    """Time to see which shares are to be asked for."""
+
+
 class PlannedReducer(Reducer):
     """:param follower: reads what a ledger of purges says, where there is one."""
 
@@ -34,9 +42,14 @@
         super().__init__(force)
         self.force, self.follower = force, follower
         self.denied: dict[str, int] = {}  # reqs turned away before a dispatch, by limit
+        self.refused: dict[str, Refusal] = {}  # asks for shares that were not obeyed, until told
 
-    def step(self, event: Event | NewPlan | Linked | Said, now: int) -> list[Effect | Tell | Hang]:
+    def step(
+        self, event: Event | NewPlan | Linked | Said | AskShares, now: int
+    ) -> list[Effect | Tell | Hang]:
         match event:
+            case AskShares():
+                return self._asks()
             case Linked():
                 return [Tell(self.follower.begin(now))]
             case Said(said):
@@ -56,12 +69,27 @@
                     self._outdated(given, now)
                 case Caught(caches):
                     fleet.caught = caches
+                case Grants():
+                    self._granted(given)
                 case Say(words):
                     effects.append(Tell(words))
                 case End(reason, come_back):
                     effects.append(Hang(reason, come_back))
         return effects
 
+    def _asks(self) -> list[Tell]:
+        shares = self.force.shares
+        if not (self.follower and self.follower.grants) or not (asks := shares.asks()):
+            return []
+        return [Tell(Asks(asks))]
+
+    def _granted(self, said: Grants) -> None:
+        self.force.shares.granted(said.grants)
+        for budget, refusal in said.refused.items():
+            self.refused[budget] = refusal
+            while len(self.refused) > REFUSED_MOST:
+                del self.refused[next(iter(self.refused))]
+
     def _outdated(self, news: Apply, now: int) -> None:
         """Dispatches decided before a purge that are not written yet are decided anew; the rest is judged."""
         for hand in self.hands.values() if news.purges else ():
@@ -79,6 +107,8 @@
 
     def _came(self, ticket: int, call: Call, now: int) -> None:
         denied = self.force.admit(ticket, call.ruling, now)
+        if self.force.shares and self.force.shares.fresh:
+            self.effects += self._asks()  # a budget that nothing is held of waits for no timer
         if denied is not None:
             self.denied[denied.limit] = self.denied.get(denied.limit, 0) + 1
             self.effects.append(Reply(ticket, answer.denied(denied.come_back)))
--- a/quartzrouter/site/serve.py
+++ b/quartzrouter/site/serve.py
@@ -8,6 +8,7 @@
 
 from quartzrouter.briefing import Post, Section, Unusable, address
 from quartzrouter.force.force import Force
+from quartzrouter.force.shared import budgets
 from quartzrouter.ledger.link import Hang, Link, Tell
 from quartzrouter.net import serve
 from quartzrouter.net.journal import Lines, known
@@ -18,7 +19,10 @@
 from quartzrouter.site import purges
 from quartzrouter.site.asking import Asking
 from quartzrouter.site.logs import Structured
-from quartzrouter.site.reducer import NewPlan, PlannedReducer
+from quartzrouter.sharing.shares import NOTHING, Counts, Shares, shown
+from quartzrouter.site.reducer import AskShares, NewPlan, PlannedReducer
+
+IDLE = 250_000  # us between two looks whether a plan has come that shares limits
 
 
 class Planned(serve.Service):
@@ -38,7 +42,10 @@
 
     def _reducer(self) -> PlannedReducer:
         self.fleet, follower = purges.joined(self.plan) or (None, None)
-        self.force = Force(self.plan, self.post.briefing.arguments, self.fleet)
+        arguments, home = self.post.briefing.arguments, self.plan.deployment["home"]
+        name, token = (follower.name, follower.token) if follower else (self.post.name, "")
+        shares = Shares(budgets(self.plan, (home,)), name, token, serve.steady)
+        self.force = Force(self.plan, arguments, self.fleet, shares)
         file = self.plan.purges["file"] if self.fleet else None
         if file and (wrong := purges.resume(file, self.fleet, follower, serve.clock())):
             self.report.say("ledger", wrong)
@@ -56,6 +63,8 @@
         self.link = Link(ledgers, silent, self.feed, self.report)
         self.tasks.start_soon(self.link.run)
         self.tasks.start_soon(self._tell)
+        self.tasks.start_soon(self._ask_shares)
+        self.tasks.start_soon(self._tell_shares)
         if told["file"]:
             self.tasks.start_soon(self._save, told["file"])
 
@@ -74,6 +83,27 @@
                 )
             old, merged = self.fleet.old, self.fleet.marks.merged
 
+    async def _ask_shares(self) -> None:
+        while True:
+            every = self.force.shares.every
+            await anyio.sleep((every or IDLE) / 1e6)
+            if every:
+                self.feed(AskShares())
+
+    async def _tell_shares(self) -> None:
+        """Says when this router begins and ends to act on its floor, and which asks were not obeyed."""
+        before: dict[str, Counts] = {}
+        while True:
+            await anyio.sleep(purges.TELL_EVERY)
+            told = self.force.shares.told()
+            for name, counts in told.items():
+                if said := shown(counts, before.get(name, NOTHING)):
+                    self.report.say("shares", f"limit {name}: {said}")
+            before = told
+            for budget, (place, reason, remedy) in self.reducer.refused.items():
+                self.report.say("shares", f"limit {budget}: the ledger refuses {place}: {reason}; {remedy}")
+            self.reducer.refused.clear()
+
     async def _save(self, path: str) -> None:
         """Beside the loop: encoding and writing 100,000 purges takes a tenth of a second."""
         saved = self.reducer.follower.held
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -217,10 +217,10 @@
     BEGIN(self, budgets, now, True)
 
 
-def any_number(self, said):
+def any_number(self, said, now):
     pot = self.pots[said.budget]
     known = pot.holders.get(said.name)
-    return REFUSAL(self, said) if not known or said.number > known.number else None
+    return REFUSAL(self, said, now) if not known or said.number > known.number else None
 
 
 def forgets(self, pot, said, now):
@@ -414,14 +414,16 @@
 @pytest.mark.parametrize(
     "word, place",
     [
-        ({"budget": "other"}, "budget"), ({"want": -1.0}, "want"), ({"want": float("nan")}, "want"),
+        ({"budget": "other"}, "budget"), ({"budget": "fills/" + 300 * "x"}, "budget"),
+        ({"figures": 1}, "figures"),
+        ({"want": -1.0}, "want"), ({"want": float("nan")}, "want"),
         ({"want": 1e300}, "want"), ({"left": float("inf")}, "left"), ({"keep": -1}, "keep"),
         ({"slots": 1 << 70}, "slots"), ({"number": 1}, "number"), ({"number": 0}, "number"),
     ],
 )  # fmt: skip
 def test_words_that_a_granter_does_not_obey(word, place):
     granter = Granter([RATE], 0, alone=True)
-    well = {"budget": "fills", "name": "r", "token": "t", "number": 1, "want": 5.0}
+    well = {"budget": "fills", "name": "r", "token": "t", "number": 1, "want": 5.0, "figures": RATE.figures}
     assert isinstance(granter.ask(Ask(**well), S), Grant)
     before = granter.pots["fills"].tokens
     said = granter.ask(Ask(**(well | {"number": 2} | word)), S)
