--- a/quartzrouter/cli/ledger.py
+++ b/quartzrouter/cli/ledger.py
@@ -43,7 +43,7 @@
     from quartzrouter.net.serve import clock
     from quartzrouter.site.logs import Structured, logger
 
-    report, budgets = Structured("ledger", clock, logger()), _budgets(plan) if plan else None
+    report, budgets = Structured("ledger", clock, logger()), budgets_of(plan) if plan else None
     try:
         told = (folder, listen, grace, report, standby, clock, budgets)
         sys.exit(anyio.run(serve.serve, *told, backend_options=LOOP))
@@ -59,7 +59,7 @@
     """A plan that can't be used."""
 
 
-def _budgets(path: str):
+def budgets_of(path: str):
     """Reads a plan's budgets, each time it is called.  Raises Faulty."""
     from quartzrouter.force.shared import budgets
     from quartzrouter.plan.load import load
--- a/quartzrouter/rehearse/purges.py
+++ b/quartzrouter/rehearse/purges.py
@@ -6,8 +6,6 @@
 import os
 import random
 import re
-import subprocess
-import sys
 import tempfile
 from collections import Counter
 from dataclasses import dataclass, field
@@ -24,9 +22,9 @@
 from quartzrouter.purges.marks import Asked, Marks
 from quartzrouter.purges.words import AskMembers, AskStatus, Hello, Purge, Refused, Send, Taken, line
 from quartzrouter.rehearse import Tally
+from quartzrouter.stand.fleet import Clocks, Fleet
 from quartzrouter.standin.boxes import Box
-from quartzrouter.standin.loopback import Client, free_port
-from quartzrouter.standin.proxy import Proxy
+from quartzrouter.standin.loopback import Client
 
 S = 1_000_000
 GRACE = 300_000  # us
@@ -119,24 +117,18 @@
         return 0 if cut else answer.came - WAY
 
 
-class Fleet:
+class PurgedFleet(Fleet):
     """All parties, and what is done to them."""
 
     def __init__(
         self, chance: random.Random, folder: Path, routers: int, caches: int, guards: tuple[str, ...]
     ):
-        self.chance, self.folder, self.guards = chance, folder, guards
-        self.count, self.cache_count = routers, caches
+        super().__init__(folder, chance, GRACE)
+        self.guards, self.count, self.cache_count = guards, routers, caches
         self.skew = chance.choice((-3, 2)) * S  # the ledger's clock
         self.checker = Checker(self.skew)
-        self.routers: list[subprocess.Popen] = []
-        self.ports: list[int] = []
-        self.proxies: list[Proxy] = []
         self.boxes: dict[str, Box] = {}
-        self.ledger: subprocess.Popen
-        self.courier: subprocess.Popen
         self.stop = anyio.Event()
-        self.logs = open(folder / "log", "ab")  # noqa: SIM115 - for as long as the children live
         self.lag = 0
 
     # -- parties -------------------------------------------------------------------------------------------
@@ -158,16 +150,20 @@
             f'{name}: {{ address: "{above[name]}", at: "{at}", tier: "{tier}", weight: 40 }}'
             for name, tier, at in tiers
         )
-        self.ledger_port = await free_port()
-        self.start_ledger()
-        for n in range(self.count):
-            proxy = Proxy(("127.0.0.1", self.ledger_port), self.chance)
-            await proxy.start(tasks)
-            self.proxies.append(proxy)
-            self.ports.append(await free_port())
-            self.routers.append(self.start_router(n))
-        path = self._plan("deliver", 0, self.ledger_port, "")
-        self.courier = self._spawn("quartzrouter.cli", "purge", "deliver", str(path))
+        await self.add_ledger(clocks=Clocks(self.skew))
+        for _ in range(self.count):
+            n = await self.add_links(tasks)
+            file = f'file: "{self.folder}/marks-{n}",' if n % 2 else ""
+            self.add_router(n, self._plan(n, self.links[n][0].port, file), guards=self.guards)
+        path = self.folder / "deliver.plan"
+        path.write_text(self._plan(0, self.ledger_port, ""))
+        self.add_command("courier", "purge", "deliver", str(path))
+        for party in self.parties:
+            party.start()
+
+    @property
+    def ledger_port(self) -> int:
+        return self.ledger_ports[0]
 
     def made(self) -> float:
         """s that the making of a copy takes; now and then far longer than the grace."""
@@ -175,34 +171,11 @@
             self.chance.uniform(0.5, 1.0) if self.chance.random() < 0.05 else self.chance.uniform(0.01, 0.2)
         )
 
-    def start_ledger(self) -> None:
-        self.ledger = self._child(
-            "ledger", str(self.folder / "ledger"), f"127.0.0.1:{self.ledger_port}", str(GRACE), str(self.skew)
-        )
-
-    def start_router(self, n: int) -> subprocess.Popen:
-        file = f'file: "{self.folder}/marks-{n}",' if n % 2 else ""
-        return self._child("router", str(self._plan(f"r{n}", n, self.proxies[n].port, file)), *self.guards)
-
-    def _plan(self, name: str, n: int, ledger: int, file: str) -> Path:
-        path = self.folder / f"{name}.plan"
-        path.write_text(PLAN.format(store=STORES[n % 2], port=self.ports[n], number=n, caches=self.lines,
-                                    ledger=ledger, file=file, life=LIFE))  # fmt: skip
-        return path
-
-    def _child(self, *arguments: str) -> subprocess.Popen:
-        return self._spawn("quartzrouter.rehearse.child", *arguments)
-
-    def _spawn(self, module: str, *arguments: str) -> subprocess.Popen:
-        return subprocess.Popen(
-            [sys.executable, "-m", module, *arguments], stderr=self.logs, stdout=self.logs
-        )
-
-    def end(self) -> None:
-        for process in (*self.routers, self.courier, self.ledger):
-            process.kill()
-            process.wait()
-        self.logs.close()
+    def _plan(self, n: int, ledger: int, file: str) -> str:
+        return PLAN.format(
+            store=STORES[n % 2], port=self.ports[n], number=n, caches=self.lines, ledger=ledger, file=file,
+            life=LIFE,
+        )  # fmt: skip
 
     # -- load ----------------------------------------------------------------------------------------------
 
@@ -298,35 +271,25 @@
     anyio.run(partial(_play, random.Random(seed), tally, guards, seconds), backend_options=serve.LOOP)
 
 
-async def _up(port: int) -> None:
-    with anyio.fail_after(8):
-        while True:
-            try:
-                async with await anyio.connect_tcp("127.0.0.1", port):
-                    return
-            except OSError:
-                await anyio.sleep(0.02)
-
-
-async def _script(fleet: Fleet, tally: Tally, tasks: anyio.abc.TaskGroup, unit: float) -> None:
+async def _script(fleet: PurgedFleet, tally: Tally, tasks: anyio.abc.TaskGroup, unit: float) -> None:
     """What goes wrong, in its order; a unit is a sixteenth of the time."""
     chance = fleet.chance
     await anyio.sleep(2 * unit)
     cut, since = fleet.checker.cut, serve.clock()
-    fleet.proxies[0].held = True  # a partition, longer than a lease
+    fleet.links[0][0].hold()  # a partition, longer than a lease
     await fleet.purge([fleet.some() for _ in range(5)])
     away = fleet.boxes["n1"]
     away.stop()  # a cache drains for longer than marks live, and keeps its disk
     await anyio.sleep(1.2 * unit)
     await fleet.purge([Send("tag", (TAGS[0],)), Send("tag", ("care",))])
-    fleet.proxies[0].held = False  # healed while purges go on
-    await _joined(fleet)
+    fleet.links[0][0].heal()  # healed while purges go on
+    await fleet.joined()
     cut.append((0, since, serve.clock()))
     await anyio.sleep(unit)
     await _kill_ledger(fleet, 0.3 * unit)
     await anyio.sleep(unit)
     since = serve.clock()
-    fleet.proxies[1].spoil, fleet.proxies[2].late = 0.1, 0.02
+    fleet.links[1][0].down.spoil, fleet.links[2][0].down.late = 0.1, 0.02
     await _restart(fleet, fleet.count - 1, 0.3 * unit)
     for box in list(fleet.boxes.values())[::3]:
         box.refuse = 0.2
@@ -334,8 +297,9 @@
     await anyio.sleep(unit)
     for box in fleet.boxes.values():
         box.refuse = 0.0
-    fleet.proxies[1].spoil = fleet.proxies[2].late = 0.0
-    await _joined(fleet)
+    fleet.links[1][0].heal()
+    fleet.links[2][0].heal()
+    await fleet.joined()
     cut += [(n, since, serve.clock()) for n in (1, 2)]
     await away.start(tasks)  # with its old copies, while purges keep coming
     await anyio.sleep(unit)
@@ -346,40 +310,25 @@
     await _restart(fleet, chance.randrange(fleet.count), 0.0)
 
 
-async def _kill_ledger(fleet: Fleet, wait: float) -> None:
+async def _kill_ledger(fleet: PurgedFleet, wait: float) -> None:
     since = serve.clock()
-    fleet.ledger.kill()
-    fleet.ledger.wait()
+    fleet.ledgers[0].kill()
     await anyio.sleep(wait)
-    fleet.start_ledger()
-    await _joined(fleet)
+    fleet.ledgers[0].start()
+    await fleet.joined()
     fleet.checker.cut.append((None, since, serve.clock()))
 
 
-async def _restart(fleet: Fleet, n: int, wait: float) -> None:
+async def _restart(fleet: PurgedFleet, n: int, wait: float) -> None:
     since = serve.clock()
     fleet.routers[n].kill()
-    fleet.routers[n].wait()
     await anyio.sleep(wait)
-    fleet.routers[n] = fleet.start_router(n)
-    await _joined(fleet)
+    fleet.routers[n].start()
+    await fleet.joined()
     fleet.checker.cut.append((n, since, serve.clock()))
 
 
-async def _joined(fleet: Fleet) -> None:
-    """Until all routers are live members again."""
-    await _up(fleet.ledger_port)
-    client = LedgerClient([("127.0.0.1", fleet.ledger_port)], 1.0)
-    with anyio.move_on_after(6):
-        while True:
-            members = (await client.ask(AskMembers())).members
-            if sum(member.live and member.kind == "router" for member in members) == fleet.count:
-                break
-            await anyio.sleep(0.02)
-    await client.close()
-
-
-async def _twice(fleet: Fleet, tally: Tally) -> None:
+async def _twice(fleet: PurgedFleet, tally: Tally) -> None:
     """A second process under a name that is in use."""
     client = LedgerClient([("127.0.0.1", fleet.ledger_port)], 1.0)
     members = await client.ask(AskMembers())
@@ -397,13 +346,11 @@
 
 async def _play(chance: random.Random, tally: Tally, guards: tuple[str, ...], seconds: float) -> None:
     with tempfile.TemporaryDirectory() as name, anyio.fail_after(seconds + 25):
-        fleet = Fleet(chance, Path(name), 6, 12, guards)
+        fleet = PurgedFleet(chance, Path(name), 6, 12, guards)
         try:
             async with anyio.create_task_group() as tasks:
                 await fleet.start(tasks)
-                for port in fleet.ports:
-                    await _up(port)
-                await _joined(fleet)
+                await fleet.all_up()
                 async with anyio.create_task_group() as load:
                     for n in range(fleet.count * CLIENTS):
                         load.start_soon(fleet.ask, n % fleet.count, n + 1)
@@ -418,14 +365,14 @@
             fleet.end()
             if keep := os.environ.get("QUARTZROUTER_TRACE"):
                 Path(f"rehearse-{keep}.log").write_bytes((fleet.folder / "log").read_bytes())
-        _judged(fleet, tally, (fleet.folder / "log").read_text(errors="replace"))
+        _judged(fleet, tally, fleet.faults())
         found = read(RealDisk(str(fleet.folder / "ledger")))
         kept = {purge.number for purge in found.purges}
         lost = [number for number in fleet.checker.marks if number not in kept]
         tally.expect(not lost, f"{len(lost)} purges were promised and are lost: {lost[:5]}")
 
 
-async def _told(fleet: Fleet, tally: Tally) -> None:
+async def _told(fleet: PurgedFleet, tally: Tally) -> None:
     """Waits until the last purge is complete, and tells what the ledger says."""
     client = LedgerClient([("127.0.0.1", fleet.ledger_port)], 2.0)
     with anyio.move_on_after(6):
@@ -440,7 +387,7 @@
     tally.figures["promised in ms, missed"] = f"{told.promise / 1000:.0f}, {told.delays['missed']}"
 
 
-def _judged(fleet: Fleet, tally: Tally, log: str) -> None:
+def _judged(fleet: PurgedFleet, tally: Tally, faults: list[str]) -> None:
     checker = fleet.checker
     for broken in checker.broken():
         tally.broken.append(broken)
@@ -455,9 +402,10 @@
     )
     tally.figures["latest wake of this process in ms"] = fleet.lag // 1000
     tally.figures["copies made by the origin"] = fleet.boxes["o"].asked
-    tally.figures["lines lost, doubled or swapped"] = sum(proxy.spoilt for proxy in fleet.proxies)
+    tally.figures["lines lost, doubled or swapped"] = sum(
+        link.spoilt for links in fleet.links for link in links
+    )
     tally.expect(not ends["without an answer"], f"{ends['without an answer']} reqs without an answer")
     tally.expect(done > answered * 0.9, f"{done} of {answered} reqs done: {dict(ends)}")
     tally.expect(done > 500, f"only {done} reqs done")
-    faults = [each for each in log.splitlines() if '"kind": "fault"' in each or "Traceback" in each]
     tally.expect(not faults, f"faults: {faults[:1]}")
--- /dev/null
+++ b/quartzrouter/stand/clocks.py
@@ -0,0 +1,48 @@
+"""Clocks of processes that are off, jump, run fast or slow: told over a page that the process reads."""
+
+import mmap
+import struct
+from collections.abc import Callable
+from pathlib import Path
+
+from quartzrouter.net.serve import clock, steady
+
+PAGE = struct.Struct("=qq")  # us by which the wall clock is off; parts in a million by which both run fast
+
+
+class Page:
+    """What the stand tells of one process's clocks; `off` may be changed while it runs."""
+
+    def __init__(self, path: Path, off: int = 0, fast: int = 0):
+        self.path, self.fast = path, fast
+        path.write_bytes(PAGE.pack(off, fast))
+        with path.open("r+b") as file:
+            self.map = mmap.mmap(file.fileno(), PAGE.size)
+
+    @property
+    def off(self) -> int:
+        return PAGE.unpack(self.map[:])[0]
+
+    def jump(self, off: int) -> None:
+        self.map[:] = PAGE.pack(off, self.fast)
+
+
+def clocks(path: str) -> tuple[Callable[[], int], Callable[[], int]]:
+    """The process's side: its wall clock and its steady one."""
+    with open(path, "r+b") as file:
+        told = mmap.mmap(file.fileno(), PAGE.size, access=mmap.ACCESS_READ)
+    began, since = clock(), steady()
+    fast = PAGE.unpack(told[:])[1]
+
+    def gained(time: int) -> int:
+        return time * fast // 1_000_000
+
+    def wall() -> int:
+        now = clock()
+        return now + PAGE.unpack(told[:])[0] + gained(now - began)
+
+    def even() -> int:
+        now = steady()
+        return now + gained(now - since)
+
+    return wall, even
--- /dev/null
+++ b/quartzrouter/stand/counting.py
@@ -0,0 +1,56 @@
+"""Caches that tell the history what really arrived, when, and when it was over."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from quartzrouter.stand.history import History
+from quartzrouter.standin.boxes import LOST
+from quartzrouter.standin.loopback import WHOLE, Server
+
+ALIVE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+LOST_ANSWER = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+
+
+class CountingCache(Server):
+    """:param delay: s that a req takes, by its path.
+
+    `bad` is the share of reqs that it answers with an error, `hangs` whether it answers none.
+    """
+
+    def __init__(self, name: str, history: History, chance: random.Random, delay: Callable[[str], float]):
+        self.name, self.history, self.chance, self.delay = name, history, chance, delay
+        self.bad, self.hangs = 0.0, False
+
+    async def serve(self, stream: anyio.abc.ByteStream) -> None:
+        async with stream:
+            data = b""
+            try:
+                while True:
+                    while b"\r\n\r\n" not in data:
+                        data += await stream.receive()
+                    head, _, data = data.partition(b"\r\n\r\n")
+                    if head.startswith(b"GET /alive"):
+                        if self.hangs:
+                            await anyio.sleep(5)
+                        await stream.send(ALIVE)
+                        continue
+                    data = await self._answer(stream, head, data)
+            except LOST:
+                return
+
+    async def _answer(self, stream: anyio.abc.ByteStream, head: bytes, data: bytes) -> bytes:
+        """Answers after a while; a router that hangs up meanwhile has called the req off."""
+        path = head.partition(b"X-Path: ")[2].partition(b"\r\n")[0].decode()
+        self.history.add("arrive", self.name, path=path)
+        how = "called off"
+        try:
+            with anyio.move_on_after(60.0 if self.hangs else self.delay(path)):
+                data += await stream.receive()
+            wrong = self.chance.random() < self.bad
+            await stream.send(LOST_ANSWER if wrong else WHOLE)
+            how = "failed" if wrong else "answered"
+        finally:
+            self.history.add("leave", self.name, path=path, how=how)
+        return data
--- /dev/null
+++ b/quartzrouter/stand/fleet.py
@@ -0,0 +1,142 @@
+"""A fleet of processes: routers, ledgers, couriers, each with its clocks, and a link from each to each."""
+
+import random
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+
+from quartzrouter.ledger.wire import Client as LedgerClient
+from quartzrouter.ledger.wire import Unreachable
+from quartzrouter.purges.words import AskMembers
+from quartzrouter.stand.clocks import Page
+from quartzrouter.stand.history import History
+from quartzrouter.stand.links import Link
+from quartzrouter.stand.parties import Party
+from quartzrouter.standin.loopback import free_port
+
+UP_WITHIN = 20.0  # s for a process to listen: Python starts in one, many at once on few cores in more
+JOINED_WITHIN = 15.0
+
+
+class Clocks(NamedTuple):
+    """Of a party: us by which the wall clock is off, parts in a million by which both run fast."""
+
+    off: int = 0
+    fast: int = 0
+
+
+TRUE = Clocks()
+
+
+class Fleet:
+    """:param folder: for plans, logs and what parties keep.
+    :param grace: us, of purges.
+    """
+
+    def __init__(self, folder: Path, chance: random.Random, grace: int = 300_000):
+        self.folder, self.chance, self.grace = folder, chance, grace
+        self.history = History()
+        self.routers: list[Party] = []
+        self.ledgers: list[Party] = []
+        self.others: list[Party] = []
+        self.ports: list[int] = []  # of routers
+        self.ledger_ports: list[int] = []
+        self.links: list[list[Link]] = []  # of each router, to each ledger
+        self.logs = open(folder / "log", "ab")  # noqa: SIM115 - for as long as the children live
+
+    # -- parties -------------------------------------------------------------------------------------------
+
+    async def add_ledger(
+        self, plan: Path | None = None, standby: int | None = None, clocks: Clocks = TRUE,
+        guards: Sequence[str] = (), folder: str = "ledger",
+    ) -> Party:  # fmt: skip
+        """:param standby: the ledger, by its number, that it takes over from."""
+        port = await free_port()
+        beside = f"127.0.0.1:{self.ledger_ports[standby]}" if standby is not None else "-"
+        at, n = self.folder / folder, len(self.ledgers)
+        told = ["ledger", str(at), f"127.0.0.1:{port}", str(self.grace), str(plan or "-"), beside, *guards]
+        self.ledgers.append(self._party(f"ledger{n}", told, clocks, at))
+        self.ledger_ports.append(port)
+        return self.ledgers[-1]
+
+    async def add_links(self, tasks: anyio.abc.TaskGroup) -> int:
+        """Links from one more router to all ledgers, and that router's port; gives its number."""
+        links = [Link(("127.0.0.1", port), self.chance) for port in self.ledger_ports]
+        for link in links:
+            await link.start(tasks)
+        self.links.append(links)
+        self.ports.append(await free_port())
+        return len(self.links) - 1
+
+    def add_router(self, n: int, plan: str, clocks: Clocks = TRUE, guards: Sequence[str] = ()) -> Party:
+        """:param plan: its text; the file may be written anew for a reload."""
+        path = self.plan_of(n)
+        path.write_text(plan)
+        self.routers.append(self._party(f"r{n}", ["router", str(path), *guards], clocks))
+        return self.routers[-1]
+
+    def add_command(self, name: str, *words: str) -> Party:
+        self.others.append(self._party(name, ["cli", *words], Clocks()))
+        return self.others[-1]
+
+    def plan_of(self, n: int) -> Path:
+        return self.folder / f"r{n}.plan"
+
+    def _party(self, name: str, told: list[str], clocks: Clocks, folder: Path | None = None) -> Party:
+        page = Page(self.folder / f"{name}.clocks", *clocks)
+        return Party(name, told, page, self.logs, self.history, folder)
+
+    @property
+    def parties(self) -> list[Party]:
+        return [*self.routers, *self.ledgers, *self.others]
+
+    def end(self) -> None:
+        for party in self.parties:
+            party.kill()
+        self.logs.close()
+
+    def log(self) -> str:
+        return (self.folder / "log").read_text(errors="replace")
+
+    def faults(self) -> list[str]:
+        """Lines in which a process tells of a fault of its own."""
+        return [line for line in self.log().splitlines() if '"kind": "fault"' in line or "Traceback" in line]
+
+    # -- waiting -------------------------------------------------------------------------------------------
+
+    async def up(self, port: int) -> None:
+        with anyio.fail_after(UP_WITHIN):
+            while True:
+                try:
+                    async with await anyio.connect_tcp("127.0.0.1", port):
+                        return
+                except OSError:
+                    await anyio.sleep(0.02)
+
+    async def all_up(self) -> None:
+        for port in self.ports:
+            await self.up(port)
+        await self.joined()
+
+    async def joined(self) -> bool:
+        """Until all routers are live members of a ledger that answers; False where that takes too long."""
+        client = LedgerClient([("127.0.0.1", port) for port in self.ledger_ports], 1.0)
+        try:
+            with anyio.move_on_after(JOINED_WITHIN):
+                while True:
+                    if await self._live(client) == len(self.routers):
+                        return True
+                    await anyio.sleep(0.02)
+        finally:
+            await client.close()
+        return False
+
+    @staticmethod
+    async def _live(client: LedgerClient) -> int:
+        try:
+            members = (await client.ask(AskMembers())).members
+        except Unreachable:
+            return 0
+        return sum(member.live and member.kind == "router" for member in members)
--- /dev/null
+++ b/quartzrouter/stand/links.py
@@ -0,0 +1,129 @@
+"""Links on loopback that misbehave, each way by itself: held, late, reset; lines lost, doubled, swapped."""
+
+import random
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import anyio
+
+from quartzrouter.ledger.wire import lines
+from quartzrouter.standin.boxes import LOST
+
+LOOK_EVERY = 0.005  # s between looks whether a held way is open again
+READ = 1 << 16
+
+
+@dataclass
+class Way:
+    """One direction.
+
+    :param held: nothing passes, and nobody is told.
+    :param late: s by which each line is late.
+    :param spoil: the share of lines that are lost, doubled or swapped with the next.
+    """
+
+    held: bool = False
+    late: float = 0.0
+    spoil: float = 0.0
+    spoilt: int = 0
+
+
+class Link:
+    """From a client to a server, the same for all its connections.
+
+    :param to: the server's address.
+    :param by_line: what passes is lines, which can be spoilt one by one; else bytes.
+    """
+
+    def __init__(self, to: tuple[str, int], chance: random.Random, by_line: bool = True):
+        self.to, self.chance, self.by_line = to, chance, by_line
+        self.up, self.down = Way(), Way()  # to the server, to the client
+        self.open: set[anyio.CancelScope] = set()
+        self.port = 0
+
+    @property
+    def ways(self) -> tuple[Way, Way]:
+        return self.up, self.down
+
+    @property
+    def spoilt(self) -> int:
+        return self.up.spoilt + self.down.spoilt
+
+    def hold(self, held: bool = True) -> None:
+        for way in self.ways:
+            way.held = held
+
+    def heal(self) -> None:
+        for way in self.ways:
+            way.held, way.late, way.spoil = False, 0.0, 0.0
+
+    def reset(self) -> None:
+        """All its connections end."""
+        for scope in list(self.open):
+            scope.cancel()
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        tasks.start_soon(listener.serve, self._serve)
+
+    async def _serve(self, client: anyio.abc.ByteStream) -> None:
+        scope = anyio.CancelScope()
+        self.open.add(scope)
+        try:
+            with scope:
+                await self._pass(client)
+        except* LOST:
+            pass
+        finally:
+            self.open.discard(scope)
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(client)
+
+    async def _pass(self, client: anyio.abc.ByteStream) -> None:
+        await _opened(self.up)  # where nothing gets there, no connection does
+        async with (
+            await anyio.connect_tcp(*self.to) as server,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(self._carry, client, server, self.up, tasks.cancel_scope)
+            await self._carry(server, client, self.down, tasks.cancel_scope)
+
+    async def _carry(self, source, sink, way: Way, scope: anyio.CancelScope) -> None:
+        try:
+            async for piece in self._spoilt(source, way):
+                await sink.send(piece)
+        except LOST:
+            pass
+        scope.cancel()
+
+    async def _spoilt(self, source, way: Way) -> AsyncIterator[bytes]:
+        if not self.by_line:
+            while True:
+                piece = await source.receive(READ)
+                await _opened(way)
+                if way.late:
+                    await anyio.sleep(way.late)
+                yield piece
+        kept: bytes | None = None
+        async for line in lines(source):
+            await _opened(way)
+            if way.late:
+                await anyio.sleep(way.late)
+            out = [line]
+            if way.spoil and self.chance.random() < way.spoil:
+                way.spoilt += 1
+                what = self.chance.choice(("lose", "double", "swap"))
+                out = [] if what == "lose" else [line, line] if what == "double" else []
+                if what == "swap":
+                    kept = line
+                    continue
+            if kept is not None:
+                out, kept = [*out, kept], None
+            for each in out:
+                yield each + b"\n"
+
+
+async def _opened(way: Way) -> None:
+    while way.held:
+        await anyio.sleep(LOOK_EVERY)
--- /dev/null
+++ b/quartzrouter/stand/parties.py
@@ -0,0 +1,65 @@
+"""Processes of a stand: started, killed, stopped and continued, started again, their folder lost."""
+
+import shutil
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import IO
+
+from quartzrouter.stand.clocks import Page
+from quartzrouter.stand.history import History
+
+
+class Party:
+    """A process of the program.
+
+    :param arguments: of quartzrouter.stand.child, after the page of its clocks.
+    :param folder: what it keeps, if anything.
+    """
+
+    def __init__(
+        self, name: str, arguments: list[str], page: Page, log: IO, history: History,
+        folder: Path | None = None,
+    ):  # fmt: skip
+        self.name, self.arguments, self.page = name, arguments, page
+        self.log, self.history, self.folder = log, history, folder
+        self.process: subprocess.Popen | None = None
+
+    @property
+    def runs(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        words = [sys.executable, "-m", "quartzrouter.stand.child", str(self.page.path), *self.arguments]
+        self.process = subprocess.Popen(words, stdout=self.log, stderr=self.log)
+        self.history.add("start", self.name)
+
+    def kill(self) -> None:
+        """SIGKILL, also where it is stopped."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+            self.history.add("kill", self.name)
+
+    def stop(self) -> None:
+        """SIGSTOP: it does nothing, and knows nothing of it."""
+        if self.runs:
+            self.process.send_signal(signal.SIGSTOP)
+            self.history.add("stop", self.name)
+
+    def go_on(self) -> None:
+        if self.runs:
+            self.process.send_signal(signal.SIGCONT)
+            self.history.add("go on", self.name)
+
+    def reload(self) -> None:
+        if self.runs:
+            self.process.send_signal(signal.SIGHUP)
+            self.history.add("reload", self.name)
+
+    def lose_folder(self) -> None:
+        """Its disk is gone; for a process that doesn't run."""
+        if self.folder is not None:
+            shutil.rmtree(self.folder, ignore_errors=True)
+            self.history.add("lost", self.name)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -14,6 +14,9 @@
 from quartzrouter.sharing.budget import DRIFT, Ask, Budget, Grant, Refusal, S
 from quartzrouter.sharing.granter import Granter, level
 from quartzrouter.sharing.share import Share
+from quartzrouter.stand.guards import (
+    any_number, at_once, endless, floor_at_once, forgets, full, late, older, twice, two_bursts, unconfined,
+)  # fmt: skip
 
 STEP = 10_000  # us of true time
 RATE = Budget("fills", rate=50.0, burst=20.0, floors=0.2, routers=4)
@@ -178,73 +181,6 @@
     assert used[0.1] > 0.75 and used[1.0] < 0.4
 
 
-# each guard, and what stands in its place
-def late(self, said, now):
-    asked = {number: now for number in self.asked}  # as if the share began with its answer
-    self.asked = asked
-    return TAKE_GRANT(self, said, now)
-
-
-def twice(self, said, now):
-    asked = self.asked.get(said.number)
-    taken = TAKE_GRANT(self, said, now)
-    if asked is not None:
-        self.asked[said.number] = asked
-    return taken
-
-
-def older(self, said, now):
-    numbers, self.numbers = self.numbers, said.number
-    taken = TAKE_GRANT(self, said, now)
-    self.numbers = numbers
-    return taken
-
-
-def unconfined(self, now):
-    slots = self.slots
-    said = ASK(self, now)
-    self.slots = slots
-    return said
-
-
-def full(self, budgets, now, alone=False):
-    BEGIN(self, budgets, now, alone)
-    for pot in self.pots.values():
-        pot.tokens = pot.budget.shared_burst
-
-
-def at_once(self, budgets, now, alone=False):
-    BEGIN(self, budgets, now, True)
-
-
-def any_number(self, said, now):
-    pot = self.pots[said.budget]
-    known = pot.holders.get(said.name)
-    return REFUSAL(self, said, now) if not known or said.number > known.number else None
-
-
-def forgets(self, pot, said, now):
-    if said.name in pot.holders and pot.holders[said.name].token != said.token:
-        del pot.holders[said.name]
-    return HOLDER(self, pot, said, now)
-
-
-def two_bursts(self, budget, name, token, now):
-    START(self, budget, name, token, now)
-    self.floor = budget.floor_burst
-
-
-def floor_at_once(self, budget, name, token, now):
-    START(self, budget, name, token, now)
-    self.floor_from = now
-
-
-def endless(self, asked):
-    return asked + 100 * S
-
-
-TAKE_GRANT, ASK, START = Share.take_grant, Share.ask, Share.__init__
-BEGIN, REFUSAL, HOLDER = Granter.__init__, Granter._refusal, Granter._holder
 BURSTS = Budget("bursts", rate=8.0, burst=40.0, floors=0.5, routers=4)  # where floors and bursts weigh most
 GUARDS = {
     "tokens of a doubled grant count twice": (Share, "take_grant", twice, RATE, QUIET | {"double": 0.6}),
--- a/tests/test_site_purges.py
+++ b/tests/test_site_purges.py
@@ -16,14 +16,14 @@
 from quartzrouter.plan.sets import Asked
 from quartzrouter.purges.words import AskMembers, AskStatus, Leave, Send
 from quartzrouter.rehearse import Tally
-from quartzrouter.rehearse.child import GUARDS
 from quartzrouter.rehearse.purges import rehearse
 from quartzrouter.site.logs import logger
 from quartzrouter.site.serve import Planned
+from quartzrouter.stand.guards import GUARDS
+from quartzrouter.stand.links import Link
 from quartzrouter.standin.boxes import Box
 from quartzrouter.standin.disk import FaultyDisk
 from quartzrouter.standin.loopback import Client, free_port
-from quartzrouter.standin.proxy import Proxy
 
 PLAN = """{
   deployment: { name: "t", home: "north", listen: "127.0.0.1:%(port)d", descriptors: 256 },
@@ -66,7 +66,7 @@
         port = self.told.get("ledger") or await free_port()
         self.listeners = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
         if "link" not in self.told:
-            self.proxy = Proxy(("127.0.0.1", port), random.Random(1))
+            self.proxy = Link(("127.0.0.1", port), random.Random(1))
             await self.proxy.start(self.tasks)
             self.told["link"] = self.proxy.port
         self.told["ledger"], self.ledger = port, Ledger(self.disk, 300_000, Report("l", serve.clock))
@@ -288,7 +288,7 @@
         fleet.caught = {"n1": 1}
         assert force._oldest(ruling, given, fleet.lease.heard) == 0
         assert force._oldest(ruling, replace(given, source="p"), fleet.lease.heard) == 1_000_000
-        site.proxy.held = True
+        site.proxy.hold()
         await site.stop_ledger()
         while site.router.link.out is not None:
             await anyio.sleep(0.02)
@@ -300,7 +300,7 @@
 
 async def cut_off(site):
     """Purged while the router hears nothing: when the copy was made, and the purge taken."""
-    site.proxy.held = True
+    site.proxy.hold()
     taken = await site.purge("object", "/a")
     await anyio.sleep(0.35)
     return taken
