--- /dev/null
+++ b/quartzrouter/cli/fleet.py
@@ -0,0 +1,106 @@
+"""`quartzrouter fleet ...`: what routers share, as the ledger that grants it sees it."""
+
+import json
+
+import click
+
+from quartzrouter.cli.purge import AS_JSON, LEDGERS, ask, ran
+
+
+@click.group()
+def fleet() -> None:
+    """See what the routers of a fleet share."""
+
+
+@fleet.command(epilog="Example: quartzrouter fleet status --ledger 10.0.0.5:7700")
+@LEDGERS
+@AS_JSON
+def status(ledgers, as_json: bool) -> None:
+    """Tell who grants, which routers are there, and what was not obeyed; exit with 1 if no ledger answers."""
+    from quartzrouter.purges.words import AskBudgets, AskMembers
+
+    members, told = ran(ask, ledgers, AskMembers()), ran(ask, ledgers, AskBudgets())
+    routers = [each for each in members.members if each.kind == "router"]
+    silent = [each.name for each in routers if not each.live]
+    if as_json:
+        live = [each.name for each in routers if each.live]
+        said = {"epoch": told.epoch, "live": live, "silent": silent, "budgets": len(told.budgets)}
+        click.echo(json.dumps(said | {"refused": told.refused}))
+        return
+    click.echo(f"epoch {told.epoch}, {len(told.budgets)} budgets, {told.refused} asks not obeyed")
+    click.echo(f"{len(routers) - len(silent)} routers live, {len(silent)} silent {' '.join(silent)}".strip())
+
+
+@fleet.command(epilog="Example: quartzrouter fleet budgets --json")
+@LEDGERS
+@AS_JSON
+def budgets(ledgers, as_json: bool) -> None:
+    """List the shared limits: what is granted, to whom, and what each router would use."""
+    from quartzrouter.purges.words import AskBudgets
+
+    told = ran(ask, ledgers, AskBudgets())
+    if as_json:
+        click.echo(json.dumps([_plain(each) for each in told.budgets]))
+        return
+    if not told.budgets:
+        click.echo("no budgets: this ledger was started without --plan, or the plan shares no limit")
+    for each in told.budgets:
+        waits = f", slots in {each.waits / 1e6:.1f} s" if each.waits and each.slots else ""
+        rate = f"{each.rate:g}/s, {each.tokens:.0f} in the bucket, {each.granted:.0f} granted"
+        said = [rate] * bool(each.rate) + [f"{each.slots} in hand"] * bool(each.slots)
+        click.echo(f"{each.budget}: {'; '.join(said)}{waits}")
+        for holder in sorted(each.holders, key=lambda one: one.name):
+            click.echo(
+                f"  {holder.name:24} wants {holder.want:8.1f}/s  {holder.slots:5} in hand  "
+                f"heard {holder.heard / 1000:.0f} ms ago"
+            )
+
+
+@fleet.command(epilog="Example: quartzrouter fleet judgements")
+@LEDGERS
+@AS_JSON
+def judgements(ledgers, as_json: bool) -> None:
+    """List the caches that routers leave out by each other's word: who says so, who not, until when."""
+    views = _views(ledgers)
+    if as_json:
+        told = [{"store": view.store} | each._asdict() for view in views for each in view.judgements]
+        click.echo(json.dumps(told))
+        return
+    for view in views:
+        for each in view.judgements:
+            against = f", against {' '.join(each.against)}" if each.against else ""
+            said = f"{each.cache} is out for {each.ends / 1e6:.1f} s by {' '.join(each.by)}{against}"
+            click.echo(f"{view.store}: {said}")
+    if not any(view.judgements for view in views):
+        click.echo("no cache is left out by others' word")
+
+
+@fleet.command(epilog="Example: quartzrouter fleet counts --json")
+@LEDGERS
+@AS_JSON
+def counts(ledgers, as_json: bool) -> None:
+    """List how many dispatches are out at each cache, by all routers of its store, with age and error."""
+    views = _views(ledgers)
+    if as_json:
+        told = [{"store": view.store} | each._asdict() for view in views for each in view.counts]
+        click.echo(json.dumps(told))
+        return
+    for view in views:
+        for each in view.counts:
+            in_hand = "unknown" if each.in_hand < 0 else f"{each.in_hand} out"
+            click.echo(
+                f"{view.store}: {each.cache:16} {in_hand:>12}, {each.error} more or less, "
+                f"{each.age / 1000:.0f} ms old, from {each.routers} routers"
+            )
+    if not any(view.counts for view in views):
+        click.echo("no router tells of caches: give their plan `hearsay: true` in `deployment`")
+
+
+def _views(ledgers):
+    from quartzrouter.purges.words import AskViews
+
+    return ran(ask, ledgers, AskViews()).views
+
+
+def _plain(state) -> dict:
+    return state._asdict() | {"holders": [each._asdict() for each in state.holders]}
--- a/quartzrouter/cli/ledger.py
+++ b/quartzrouter/cli/ledger.py
@@ -40,7 +40,7 @@
 
     from quartzrouter.ledger import serve
     from quartzrouter.net.loop import LOOP
-    from quartzrouter.net.serve import clock
+    from quartzrouter.net.clock import clock
     from quartzrouter.site.logs import Structured, logger
 
     report, budgets = Structured("ledger", clock, logger()), budgets_of(plan) if plan else None
--- a/quartzrouter/cli/main.py
+++ b/quartzrouter/cli/main.py
@@ -6,6 +6,7 @@
 
 from quartzrouter import __version__
 from quartzrouter.cli.explore import explore
+from quartzrouter.cli.fleet import fleet
 from quartzrouter.cli.ledger import ledger
 from quartzrouter.cli.plan import plan
 from quartzrouter.cli.purge import purge
@@ -51,7 +52,13 @@
 @click.argument("name", required=False)
 @click.option("--seed", type=int, default=1, show_default=True, help="For all that is left to chance.")
 @click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON.")
-def rehearse(name: str | None, seed: int, as_json: bool) -> None:
+@click.option(
+    "--schedule",
+    type=click.Path(exists=True, dir_okay=False),
+    help="sharing: play the faults of this file instead of drawn ones.",
+)
+@click.option("--shrink", is_flag=True, help="sharing: cut down what breaks, for some minutes.")
+def rehearse(name: str | None, seed: int, as_json: bool, schedule: str | None, shrink: bool) -> None:
     """Play a direction's hard cases, print its figures, and exit with 1 if anything broke."""
     from quartzrouter.rehearse import NAMES, play
 
@@ -60,7 +67,10 @@
         return
     if name not in NAMES:
         raise click.UsageError(f"there is no rehearsal '{name}'; there are {', '.join(NAMES)}")
-    sys.exit(play(name, seed, as_json))
+    more = {"path": schedule, "shrink": shrink} if schedule or shrink else {}
+    if more and name != "sharing":
+        raise click.UsageError(f"--schedule and --shrink are for 'sharing', not for '{name}'")
+    sys.exit(play(name, seed, as_json, **more))
 
 
 @cli.command(epilog="Example: quartzrouter completion bash >> ~/.bashrc")
@@ -77,6 +87,7 @@
 cli.add_command(explore)
 cli.add_command(ledger)
 cli.add_command(purge)
+cli.add_command(fleet)
 
 
 def main() -> None:
--- a/quartzrouter/cli/purge.py
+++ b/quartzrouter/cli/purge.py
@@ -64,7 +64,7 @@
         raise click.UsageError("nothing to purge: give --object, --tag, --pattern, --all or --from")
     for each in sends:
         each.key = each.key or secrets.token_hex(8)  # asked again, it is still one purge
-    answers = _run(_send, ledgers, sends)
+    answers = ran(_send, ledgers, sends)
     refused = [answer for answer in answers if isinstance(answer, Refused)]
     for answer in refused:
         click.echo(f"refused: {answer.place}: {answer.reason}; {answer.remedy}", err=True)
@@ -81,7 +81,7 @@
             click.echo(
                 f"purge {answer.number} is taken{again}; promised within {answer.promise / 1000:.0f} ms"
             )
-    complete = _run(_complete, ledgers, taken[-1].number, wait) if wait and taken else None
+    complete = ran(_complete, ledgers, taken[-1].number, wait) if wait and taken else None
     if complete is not None:
         _show(complete, as_json)
     sys.exit(1 if refused else 2 if complete is not None and not complete.complete else 0)
@@ -118,7 +118,7 @@
     """Say how far a purge has come, the last where none is named; exit with 1 if it isn't complete."""
     from quartzrouter.purges.words import AskStatus
 
-    told = _run(_ask, ledgers, AskStatus(number))
+    told = ran(ask, ledgers, AskStatus(number))
     _show(told, as_json)
     sys.exit(0 if told.complete else 1)
 
@@ -160,7 +160,7 @@
 
     from quartzrouter.purges.words import AskMembers
 
-    told = _run(_ask, ledgers, AskMembers())
+    told = ran(ask, ledgers, AskMembers())
     if as_json:
         click.echo(json.dumps(msgspec.to_builtins(told)))
         return
@@ -179,7 +179,7 @@
 @click.option("--after", type=int, help="From behind this number; from now on, if not given.")
 def follow(ledgers, after: int | None) -> None:
     """Print purges as they are taken, one JSON object a line, until interrupted."""
-    _run(_follow, ledgers, after)
+    ran(_follow, ledgers, after)
 
 
 async def _follow(ledgers, after: int | None) -> None:
@@ -190,14 +190,14 @@
 
     from quartzrouter.ledger.link import Link, Linked, Said
     from quartzrouter.net.report import Report
-    from quartzrouter.net.serve import clock
+    from quartzrouter.net.clock import clock
     from quartzrouter.purges.follower import Apply, End, Follower, Say
     from quartzrouter.purges.lease import Lease
     from quartzrouter.purges.words import AskStatus
 
     held = after
     if held is None:
-        held = (await _ask(ledgers, AskStatus())).head
+        held = (await ask(ledgers, AskStatus())).head
     token = secrets.token_hex(4)
     follower = Follower(f"watcher-{token}", "watcher", token, Lease(1), held)
 
@@ -233,7 +233,7 @@
     from quartzrouter.cli.plan import checked
     from quartzrouter.ledger.deliver import deliver as run
     from quartzrouter.net.loop import LOOP
-    from quartzrouter.net.serve import clock
+    from quartzrouter.net.clock import clock
     from quartzrouter.site.logs import Structured, logger
 
     made = checked(path)
@@ -252,13 +252,13 @@
     anyio.run(run, caches, ledgers, made.purges["grace"], report, rate, backend_options=LOOP)
 
 
-async def _ask(ledgers, said):
+async def ask(ledgers, said):
     from quartzrouter.ledger.wire import Client
 
     return await Client(ledgers).ask(said)
 
 
-def _run(what, *arguments):
+def ran(what, *arguments):
     import anyio
 
     from quartzrouter.ledger.wire import Unreachable
--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -15,7 +15,7 @@
 
 from quartzrouter.interface import (
     Abort, Answer, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Report, Req,
-    State, Tier, Told, VHost, Wait,
+    Sight, State, Tier, Told, VHost, Wait,
 )  # fmt: skip
 
 log = logging.getLogger(__name__)
@@ -36,6 +36,7 @@
 ERRORS_OUT = 3  # errors before a server is judged: fewer are chance
 ERROR_SHARE = 0.25  # of its recent answers, and twice what its peers show: an outlier
 MARKS_KEPT = 24  # answers; then both marks are halved, so that some seconds count
+OWN_FIRST = 500 * MS  # a server that served well here so lately, and failed in none of twice as long, stays
 OUT_FOR = 1 * S  # first ejection; doubled at each relapse
 OUT_MOST = 8 * S  # the longest one: shorter than most troubles, so that a return is soon seen
 TRUSTED_AFTER = 4  # good answers on trial
@@ -210,6 +211,9 @@
         self.good = self.bad = self.strikes = 0
         self.out = self.full = 0  # until when it is out, or counts as busy after a refusal
         self.unreached: int | None = None  # when a connection last failed
+        self.told = 0  # until when others say it is bad
+        self.well = self.ill = -NEVER  # when it last served well, or failed
+        self.done = self.failed = 0  # in all, for others to hear of
         self.probe_at, self.asked = NEVER, -PROBE_EVERY  # its next probe; when the last was due
 
 
@@ -223,9 +227,9 @@
         self.chance = chance
         self.of: dict[int, Mark] = defaultdict(Mark)
 
-    def good(self, at: int) -> None:
+    def good(self, at: int, now: int) -> None:
         mark = self.of[at]
-        mark.good += 1
+        mark.good, mark.done, mark.well = mark.good + 1, mark.done + 1, now
         if mark.good >= TRUSTED_AFTER and mark.good > 3 * mark.bad:
             mark.strikes = 0
         if mark.good + mark.bad >= MARKS_KEPT:
@@ -233,7 +237,7 @@
 
     def bad(self, at: int, peers: list[int], now: int, name: str, unreached: bool) -> None:
         mark, others = self.of[at], [self.of[n] for n in peers if n != at]
-        mark.bad += 1
+        mark.bad, mark.failed, mark.ill = mark.bad + 1, mark.failed + 1, now
         if unreached:
             mark.unreached = now
             self.eject(mark, now, name)
@@ -255,7 +259,7 @@
 
     def usable(self, at: int, outstanding: int, now: int) -> bool:
         mark = self.of[at]  # after an ejection one req at a time until one has come back well
-        return mark.out <= now and (not mark.strikes or outstanding == 0 or mark.good > 0)
+        return max(mark.out, mark.told) <= now and (not mark.strikes or outstanding == 0 or mark.good > 0)
 
     def doubt(self, at: int, now: int) -> None:
         """To be probed: covers hangs and losses that answers leave open; harms where probes are dear."""
@@ -421,6 +425,20 @@
         elif ending is Ending.DONE and self.health.of[at].out > now and self.health.of[at].unreached:
             self._back(at, self.health.of[at].unreached)
 
+    def left_out(self, until: dict[str, int], now: int) -> None:
+        """What other routers have found bad.  Covers a server that is lost for reqs that never went there;
+        could harm where it is well for this router only: what it saw itself lately goes first."""
+        for at, be in self.roster.be.items():
+            mark = self.health.of[at]
+            well = mark.well > now - OWN_FIRST and mark.ill <= now - 2 * OWN_FIRST
+            mark.told = 0 if well else until.get(be.name, 0)
+
+    def sights(self, now: int) -> list[Sight]:
+        """What it has seen of each cache itself."""
+        caches = [(self.roster.be[at].name, self.health.of[at], at) for at in self.roster.peers[Tier.CACHE]]
+        return [Sight(name, mark.out > now, mark.done, mark.failed, self.load[at])
+                for name, mark, at in caches]  # fmt: skip
+
     def _back(self, at: int, since: int) -> None:
         self.roster.started[at] = max(self.roster.started[at], since)
         self.health.of[at].out, self.health.of[at].unreached = 0, None  # it is tried at once
@@ -584,9 +602,9 @@
         if ending is Ending.DONE:
             for n in sorted(set().union(*flight.errors)):  # another serves it: the errors were theirs
                 self._blame(n, now)
-            self.health.good(at)
+            self.health.good(at, now)
             if source != at and told in (Told.FILLED, Told.FROM_ORIGIN, Told.NOTHING):
-                self.health.good(source)
+                self.health.good(source, now)
             if told is Told.HIT and sent.cold:
                 sent.cold[1] = 0  # it never reached the parent
             return
--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -22,6 +22,7 @@
     Listed,
     Outcome,
     Req,
+    Sight,
     State,
     Tier,
     VHost,
@@ -62,7 +63,7 @@
             listed = [
                 at for at, be in roster.be.items() if be.tier is Tier.CACHE and be.state is not State.GONE
             ]
-            up = [at for at in listed if roster.up(at) and health.of[at].out <= now]
+            up = [at for at in listed if roster.up(at) and max(health.of[at].out, health.of[at].told) <= now]
             self.up, self.counted = (len(up), len(listed)), now
         return self.up
 
@@ -310,6 +311,24 @@
             seat.router.probed(name, ending, report, now)
         self.touched.update(self._all())
 
+    def sights(self, now: int) -> dict[str, Sight]:
+        """What all pools' routers together have seen of each cache."""
+        found: dict[str, Sight] = {}
+        for seat in self._all():
+            for new in seat.router.sights(now):
+                old = found.get(new.cache, Sight(new.cache, False, 0, 0, 0))
+                done, failed = old.done + new.done, old.failed + new.failed
+                in_hand = old.in_hand + new.in_hand
+                found[new.cache] = Sight(new.cache, old.out or new.out, done, failed, in_hand)
+        return found
+
+    def left_out(self, until: dict[str, int], now: int) -> None:
+        """What other routers have found bad, and until when (us)."""
+        for seat in self._all():
+            seat.router.left_out(until, now)
+            seat.counted = -NEVER
+        self.touched.update(self._all())
+
     def wait(self, now: int) -> Wait:
         """Asks those routers that something happened to, or whose time has come."""
         probes: dict[str, None] = {}
--- a/quartzrouter/interface.py
+++ b/quartzrouter/interface.py
@@ -157,6 +157,17 @@
     report: Report = Report()
 
 
+@dataclass(frozen=True, slots=True)
+class Sight:
+    """What a router has seen of one cache by itself."""
+
+    cache: str
+    out: bool  # it has put it out
+    done: int  # reqs in all
+    failed: int
+    in_hand: int
+
+
 # -- the answers -----------------------------------------------------------------------------------
 
 
--- a/quartzrouter/ledger/deliver.py
+++ b/quartzrouter/ledger/deliver.py
@@ -11,7 +11,7 @@
 from quartzrouter.ledger.wire import connect
 from quartzrouter.net.progress import LOST
 from quartzrouter.net.report import Report
-from quartzrouter.net.serve import clock
+from quartzrouter.net.clock import clock
 from quartzrouter.purges.courier import ASK_EVERY, TIMEOUT, Box, Delivery
 from quartzrouter.purges.follower import Apply, End, Follower, Say
 from quartzrouter.purges.names import of_object
--- a/quartzrouter/ledger/serve.py
+++ b/quartzrouter/ledger/serve.py
@@ -12,15 +12,17 @@
 from quartzrouter.ledger.wire import Client, Unreachable, lines
 from quartzrouter.net.progress import LOST
 from quartzrouter.net.report import Report
-from quartzrouter.net.serve import clock, steady
+from quartzrouter.net.clock import clock, steady
 from quartzrouter.purges import words
 from quartzrouter.purges.attempts import Watch
 from quartzrouter.purges.book import Admitted, Book, Member
 from quartzrouter.purges.lease import beat_every, lease
 from quartzrouter.purges.words import (
-    AskBudgets, AskMembers, Asks, AskStatus, Beat, Budgets, Caught, Grants, Hello, Refused, Send, Taken,
+    AskBudgets, AskMembers, Asks, AskStatus, AskViews, Beat, Budgets, Caught, Grants, Hello, Judged, Refused,
+    Send, Sights, Taken, View, Views,
 )  # fmt: skip
 from quartzrouter.sharing.budget import Ask, Budget, Refusal
+from quartzrouter.sharing.council import TELL_EVERY, Council
 from quartzrouter.sharing.granter import Granter
 
 BATCH = 4_096  # purges made durable at once: 1 MB
@@ -30,7 +32,7 @@
 CONNECTIONS_MOST = 8_192  # routers, caches and clients
 COME_BACK = 1_000_000  # us, where the disk takes nothing
 FENCED = 3  # exit status
-GRANTS_WAIT = 16  # answers to one member that takes nothing: older ones have run out
+SAID_WAIT = 16  # words to one member that takes nothing: older ones have run out
 
 
 class Session:
@@ -41,7 +43,9 @@
         self.scope = anyio.CancelScope()
         self.caught: dict[str, int] | None = None  # as last told
         self.news = anyio.Event()  # something to tell
-        self.grants: deque[Grants] = deque(maxlen=GRANTS_WAIT)
+        self.said: deque[Grants | Judged] = deque(maxlen=SAID_WAIT)
+        self.store = ""  # whose caches it tells of, if any
+        self.judged = False  # it was last told to leave out a cache
 
     def wake(self) -> None:
         self.news.set()
@@ -82,6 +86,7 @@
         self.wanted = anyio.Event()
         self.steady = steady
         self.granter = Granter(budgets, steady()) if budgets else None
+        self.council = Council()
         self.strangers = 0  # asks in a name that is not the member's
         self.connections = 0
         self.caught: dict[str, int] = {}  # as members are told: where caches stand
@@ -98,6 +103,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._commit)
                 tasks.start_soon(self._tick)
+                tasks.start_soon(self._judge)
                 for listener in listeners:
                     tasks.start_soon(listener.serve, self.serve)
         self.log.close()
@@ -166,6 +172,20 @@
             if (caught := self.book.caught(now)) != self.caught:
                 self.caught = caught
 
+    async def _judge(self) -> None:
+        """Tells routers which caches to leave out, while there are any, and once that there are none."""
+        while True:
+            await anyio.sleep(TELL_EVERY / 1e6)
+            now = self.steady()
+            self.council.trim(now)
+            told = [session for session in self.sessions.values() if session.store]
+            found = {store: self.council.judged(store, now) for store in {each.store for each in told}}
+            for session in told:
+                if found[session.store] or session.judged:
+                    session.judged = bool(found[session.store])
+                    session.said.append(Judged(found[session.store]))
+                    session.wake()
+
     # -- connections -------------------------------------------------------------------------------------
 
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
@@ -238,6 +258,8 @@
                 return self.book.told_members(self._time())
             case AskBudgets():
                 return self._budgets()
+            case AskViews():
+                return self._views()
         return Refused("line", f"{type(said).__name__} before any hello", "say hello first")
 
     @staticmethod
@@ -284,6 +306,10 @@
             self.book.ack(session.member, said.held, said.mark, said.away, now)
         elif isinstance(said, words.Leave):
             self.book.leave(session.member, now)
+            self.council.left(session.member.name)
+        elif isinstance(said, Sights):
+            member, session.store = session.member, said.store
+            self.council.hear(member.name, member.token, said.store, said.sights, self.steady())
         elif isinstance(said, Asks) and self.granter:
             self._grant(session, said)
 
@@ -301,12 +327,14 @@
         grants, refused, member = [], {}, session.member
         for ask in said.asks[: words.ASKS_MOST]:
             given = self._granted(ask, member)
+            if isinstance(given, Refusal) and given.place == "number":
+                continue  # a late word: counted, nothing is wrong
             if isinstance(given, Refusal):
                 refused[ask.budget] = given
                 self.report.say("shares", f"{member.name}: {ask.budget:.60}: {given.place}: {given.reason}")
             else:
                 grants.append(given)
-        session.grants.append(Grants(tuple(grants), refused))
+        session.said.append(Grants(tuple(grants), refused))
         session.wake()
 
     def _granted(self, ask: Ask, member: Member):
@@ -321,6 +349,12 @@
         states = self.granter.told(self.steady())[-words.PAGE :]
         return Budgets(self.book.epoch, tuple(states), self.granter.refused + self.strangers)
 
+    def _views(self) -> Views:
+        now, council = self.steady(), self.council
+        stores = sorted({voice.store for voice in council.voices.values()})
+        views = (View(each, council.judged(each, now), council.counts(each, now)) for each in stores)
+        return Views(self.book.epoch, tuple(views))
+
     def replace(self, budgets: list[Budget]) -> None:
         """The plan was read anew."""
         if self.granter:
@@ -332,7 +366,8 @@
                 await stream.send(b"".join(map(words.line, said)))
 
         book, beat_at = self.book, 0.0
-        welcome = words.Welcome(book.epoch, book.head, self._time(), book.lease, self.granter is not None)
+        grants = self.granter is not None
+        welcome = words.Welcome(book.epoch, book.head, self._time(), book.lease, grants, judges=True)
         await send(welcome)
         if book.too_far(session.sent, hello.life, self._time()):
             pages = book.snapshot(hello.life, self._time())
@@ -341,8 +376,8 @@
                 await send(page)
         while True:
             news = session.news
-            while session.grants:
-                await send(session.grants.popleft())
+            while session.said:
+                await send(session.said.popleft())
             while session.sent < book.head:
                 news_of = book.news(session.sent)
                 session.sent += len(news_of)
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -5,7 +5,6 @@
 import signal
 import socket
 import sys
-import time
 import traceback
 from collections import deque
 from collections.abc import Callable
@@ -19,6 +18,7 @@
 from quartzrouter.interface import Effect as RepeatEffect
 from quartzrouter.net import answer, journal
 from quartzrouter.net.backend import Backend
+from quartzrouter.net.clock import Time, clock, steady
 from quartzrouter.net.front import Front, call
 from quartzrouter.net.loop import LOOP
 from quartzrouter.net.reducer import (
@@ -40,19 +40,6 @@
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
 
 
-STEADY = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
-
-
-def clock() -> int:
-    """Unix time in whole microseconds."""
-    return time.time_ns() // 1000
-
-
-def steady() -> int:
-    """Whole microseconds of the machine's clock that nobody sets, and that goes on while it sleeps."""
-    return time.clock_gettime_ns(STEADY) // 1000
-
-
 class Flight:
     """A dispatch's task, and the way to hand it what to write."""
 
@@ -82,7 +69,7 @@
         self.journal = journal.Journal(post.journal, post.position, post.briefing, self.feed, self.report)
         self.flights: dict[tuple[int, int], Flight] = {}
         self.events: deque[Event] = deque()
-        self.feeding, self.now = False, 0
+        self.feeding, self.now, self.time = False, 0, Time(clock, steady)
         self.done = 0  # events played, but for ticks without effects
         self.ticks, self.turns = Ticks(self.report), Turns(lambda: self.done, self.report)
         self.changed = anyio.Event()  # the reducer's next timer
@@ -117,7 +104,7 @@
             self.feeding = False
 
     def _time(self) -> int:
-        self.now = max(self.now, clock())  # which may be set back
+        self.now = self.time()
         return self.now
 
     def _step(self, event: Event) -> None:
--- a/quartzrouter/net/turns.py
+++ b/quartzrouter/net/turns.py
@@ -58,8 +58,6 @@
     def __init__(self, progress: Callable[[], int], report: Report):
         self.progress, self.report = progress, report
         self.every, self.braked_for = LOOK_EVERY, BRAKED
-        self.braking = False
-        self.braked = 0  # turns under the brake
         self._seen: Counter[str] = Counter()
         self._last, self._floor, self._until = 0, FLOOR, 0.0
 
@@ -93,17 +91,16 @@
         repeats = f"{what} {times} times in {1e3 * WATCHED:.0f} ms for {did}"
         brake = f"a turn takes {1e3 * FLOOR:.0f} to {1e3 * FLOOR_MOST:.0f} ms for {self.braked_for:.0f} s now"
         self.report.say("turns", f"{cpu / 1e6:.0f} ms of CPU for {done} events; {repeats}; {brake}")
-        self.braking, self._until = True, self.loop.time() + self.braked_for
+        self._until = self.loop.time() + self.braked_for
         self.braked_for = min(2 * self.braked_for, BRAKED_MOST)
         self._last, self._floor = self.progress(), FLOOR
         self.loop.call_soon(self._brake)
 
     def _brake(self) -> None:
         if self.loop.time() >= self._until:
-            self.braking, self.every = False, LOOK_EVERY
+            self.every = LOOK_EVERY
             self._begin(self.every)
             return
-        self.braked += 1
         self._floor = min(2 * self._floor, FLOOR_MOST) if self.progress() == self._last else FLOOR
         self._last = self.progress()
         time.sleep(self._floor)
--- a/quartzrouter/plan/vocabulary.py
+++ b/quartzrouter/plan/vocabulary.py
@@ -114,6 +114,11 @@
         "pass_through": Entry(
             of=Truth(), default=False, doc="what is never kept may go straight to the origin"
         ),
+        "hearsay": Entry(
+            of=Truth(),
+            default=False,
+            doc="tells others of bad caches, and leaves out what they have found bad",
+        ),
         "cold": Entry(of=COLD, default={}, doc="caches that have just started"),
         "cold_parent": Entry(of=COLD, default={}, doc="parents that have just started"),
     },
--- a/quartzrouter/purges/follower.py
+++ b/quartzrouter/purges/follower.py
@@ -12,6 +12,7 @@
     Hello,
     MemberKind,
     Grants,
+    Judged,
     Purge,
     Refused,
     Snapshot,
@@ -51,7 +52,7 @@
     come_back: int = COME_BACK
 
 
-Effect = Apply | Say | End | Caught | Grants
+Effect = Apply | Say | End | Caught | Grants | Judged
 
 
 class Follower:
@@ -74,7 +75,7 @@
 
     def begin(self, now: int) -> Hello:
         """A new connection: nothing said on the last one counts any more."""
-        self.welcomed = self.grants = False  # grants: this ledger grants shares of budgets
+        self.welcomed = self.grants = self.judges = False  # whether this ledger grants shares, judges caches
         self.mark = 0
         self.sent: dict[int, int] = {}  # us when each ack was sent, by mark
         self.pages: list[Purge] = []
@@ -99,7 +100,7 @@
                 return self._snapshot(said, now)
             case Beat():
                 return self._beat(said, now)
-            case Caught() | Grants():
+            case Caught() | Grants() | Judged():
                 return [said]
         return [End(f"a {type(said).__name__} that nobody asked for")]
 
@@ -116,7 +117,8 @@
             return [End(f"epoch {said.epoch} is over, {self.epoch} has begun")]
         if said.epoch > self.epoch:
             self.offsets.clear()  # another process, perhaps another clock
-        self.epoch, self.welcomed, self.grants = said.epoch, True, said.grants
+        self.epoch, self.welcomed = said.epoch, True
+        self.grants, self.judges = said.grants, said.judges
         self.lease.length = min(self.lease.length, said.lease) if said.lease else self.lease.length
         self.offsets.append(now - said.now)
         if said.head < self.held:
--- a/quartzrouter/purges/words.py
+++ b/quartzrouter/purges/words.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from quartzrouter.sharing.budget import Ask, Grant, Refusal, State
+from quartzrouter.sharing.council import Count, Judgement, Sight
 
 LINE_MOST = 1 << 18  # bytes of one line: a page of 512 purges, each of a few hundred; see page()
 VALUES_MOST = 64  # of one purge: more are several purges
@@ -110,11 +111,22 @@
     asks: tuple[Ask, ...]
 
 
+class Sights(msgspec.Struct, tag_field="say", tag="sights"):
+    """What a router has seen of its store's caches; said to a ledger whose welcome says that it judges."""
+
+    store: str
+    sights: tuple[Sight, ...]
+
+
+class AskViews(msgspec.Struct, tag_field="say", tag="views"):
+    """How the caches stand, by all that routers have told."""
+
+
 class AskBudgets(msgspec.Struct, tag_field="say", tag="budgets"):
     """How the budgets stand."""
 
 
-ToLedger = Send | Hello | Ack | Leave | AskStatus | AskMembers | Asks | AskBudgets
+ToLedger = Send | Hello | Ack | Leave | AskStatus | AskMembers | Asks | AskBudgets | Sights | AskViews
 
 
 # -- from the ledger ---------------------------------------------------------------------------------------
@@ -152,6 +164,7 @@
     :param now: us, the ledger's clock.
     :param lease: us after the sending of an acknowledgement that has been echoed.
     :param grants: it grants shares of budgets; a ledger of before the word says nothing of it.
+    :param judges: it puts together what routers have seen of caches; likewise.
     """
 
     epoch: int
@@ -159,6 +172,7 @@
     now: int
     lease: int
     grants: bool = False
+    judges: bool = False
 
 
 class Purges(msgspec.Struct, tag_field="say", tag="purges"):
@@ -253,8 +267,39 @@
     refused: int
 
 
+class Judged(msgspec.Struct, tag_field="say", tag="judged"):
+    """The caches that are to be left out for now; those not named are not."""
+
+    judgements: tuple[Judgement, ...]
+
+
+class View(msgspec.Struct):
+    """How the caches of a store stand."""
+
+    store: str
+    judgements: tuple[Judgement, ...]
+    counts: tuple[Count, ...]
+
+
+class Views(msgspec.Struct, tag_field="say", tag="views"):
+    epoch: int
+    views: tuple[View, ...]
+
+
 FromLedger = (
-    Taken | Refused | Welcome | Purges | Snapshot | Beat | Caught | Status | Members | Grants | Budgets
+    Taken
+    | Refused
+    | Welcome
+    | Purges
+    | Snapshot
+    | Beat
+    | Caught
+    | Status
+    | Members
+    | Grants
+    | Budgets
+    | Judged
+    | Views
 )
 
 _encoder = msgspec.json.Encoder()
--- a/quartzrouter/sharing/granter.py
+++ b/quartzrouter/sharing/granter.py
@@ -26,6 +26,7 @@
     number: int = 0  # of its last ask
     heard: int = 0
     want: float = 0.0
+    owed: float = 0.0  # parts of a token that it hasn't been granted: less than one lets no req through
     slots_wanted: int = 0
     slots: int = 0  # that it may have in use, until `gone`
     gone: int = 0
@@ -192,11 +193,16 @@
     def _tokens(self, pot: Pot, holder: Holder, said: Ask, due: int, now: int) -> float:
         """Its part of the rate for as long as it hasn't been granted, out of what the bucket has."""
         wants = [each.want for each in pot.heard(now)]
-        part = min(holder.want, level(wants, pot.budget.shared_rate))
+        soon = pot.tokens * S / pot.budget.life  # what lies in the bucket is handed out within a life
+        part = min(holder.want, level(wants, pot.budget.shared_rate + soon))
         spare = max(0.0, pot.budget.shared_rate - sum(wants)) / len(wants)
         ahead = (part + spare) * (due + pot.budget.life // ASKS) / S  # until its next ask is answered
-        if holder.want * pot.budget.life >= S / 2:  # less than a token would never let a req through
-            ahead = max(1.0, ahead)
+        if ahead < 1:
+            holder.owed += (part + spare) * due / S
+            if holder.owed < 1 or said.left >= 1:
+                holder.owed = min(1.0, holder.owed)
+                return 0.0
+            ahead, holder.owed = 1 + said.left, 0.0
         return max(0.0, min(pot.tokens, ahead - said.left))
 
     def _slots(self, pot: Pot, holder: Holder, said: Ask, now: int) -> int:
--- a/quartzrouter/sharing/share.py
+++ b/quartzrouter/sharing/share.py
@@ -6,7 +6,7 @@
 from quartzrouter.sharing.budget import Ask, Budget, Grant, S
 
 ASKED_MOST = 64  # asks whose answers may still come: an older one has run out
-WANT_LEAST = 0.05  # tokens a second: less is no demand any more
+MANY = 4  # reqs between two asks: fewer tell no rate by themselves
 
 
 class Purse(NamedTuple):
@@ -34,7 +34,10 @@
         self.floor_from = since + budget.hold  # what a process before this one had in hand is over by then
         self.slots, self.slots_until = 0, now
         self.in_use = self.most_in_use = 0
-        self.want, self.since, self.tried = 0.0, now, 0
+        self.short = 0  # reqs denied for want of a slot since the last ask
+        self.want, self.since, self.tried = 0.0, now, 0  # reqs that the floor doesn't do for
+        self.lately: deque[tuple[int, int]] = deque()  # since when so many
+        self.answered = now  # when a grant came
         self.on_floor = self.denied = self.odd = 0  # reqs let through by the floor, turned away; odd words
 
     # -- using -----------------------------------------------------------------------------------------
@@ -46,9 +49,9 @@
         :param kept_free: the share of the slots that a req of less value leaves alone.
         :return: 0 where it may go; else us after which to come back: by then more may be granted.
         """
-        self.tried += 1
         if self.budget.slots and self.in_use >= int(self._slots(now) * (1 - kept_free)):
             self.denied += 1
+            self.short += 1
             return self.budget.every
         if self.budget.rate and not self._token(now):
             self.denied += 1
@@ -63,12 +66,12 @@
         return 0
 
     def use(self) -> None:
-        """Uses what was just found: a token, by the sooner end and the floor's last, and a slot."""
-        if self.budget.rate and self.purses:
-            self.purses[0] = self.purses[0]._replace(tokens=self.purses[0].tokens - 1)
-        elif self.budget.rate:
+        """Uses what was just found: a slot, and a token: the floor's first, which nobody else has."""
+        if self.budget.rate and self.floor >= 1:
             self.floor -= 1
             self.on_floor += 1
+        elif self.budget.rate:
+            self.purses[0] = self.purses[0]._replace(tokens=self.purses[0].tokens - 1)
         self.in_use += 1
         self.most_in_use = max(self.most_in_use, self.in_use)
 
@@ -83,7 +86,10 @@
             if over.until > now and self.purses and over.tokens > 0:
                 self.purses[0] = Purse(over.until, self.purses[0].tokens + over.tokens)
         self._fill(now)
-        return bool(self.purses) or self.floor >= 1
+        if self.floor >= 1:
+            return True
+        self.tried += 1  # the floor didn't do
+        return bool(self.purses)
 
     def _fill(self, now: int) -> None:
         if now > self.filled:
@@ -113,19 +119,24 @@
         self.asked.clear()
 
     def granted(self, now: int) -> bool:
-        """Whether anything granted is in force: else it acts on its floor."""
+        """Whether anything granted is in force."""
         return self.left(now) >= 1 or (self.slots > 0 and now < self.slots_until)
 
+    def cut_off(self, now: int) -> bool:
+        """Whether it acts on its floor because no grant has come for a share's life."""
+        return now - self.answered > self.budget.life
+
     # -- asking ----------------------------------------------------------------------------------------
 
     def ask(self, now: int) -> Ask:
         """What to say next; from then on no more slots than it says are used."""
-        seen = self.tried / max(1, now - self.since) * S
-        self.want = max(seen, (self.want + seen) / 2)  # rises at once, falls by halves
-        self.want = self.want if self.want >= WANT_LEAST else 0.0
-        self.tried, self.since = 0, now
+        self._wants(now)
         floor = self.budget.floor_slots if now >= self.floor_from else 0
-        wanted = max(0, self.most_in_use + self.most_in_use // 4 + 1 - floor)
+        most = self.most_in_use
+        wanted = max(
+            0, most + max(most // 4 + 1, min(self.short, most)) - floor
+        )  # twice as many, where denied
+        self.short = 0
         self.slots = min(self.slots, max(self.in_use - floor, wanted))
         self.most_in_use = self.in_use
         self.numbers += 1
@@ -137,6 +148,16 @@
         told = (self.token, self.numbers, self.want, self.left(now), keep, wanted)
         return Ask(self.budget.name, self.name, *told, self.budget.figures)
 
+    def _wants(self, now: int) -> None:
+        """Tokens a second that it would use: over a share's life, and at once where many have come lately."""
+        seen = self.tried / max(1, now - self.since) * S
+        self.lately.append((self.since, self.tried))
+        while self.lately[0][0] < now - self.budget.life and len(self.lately) > 1:
+            self.lately.popleft()
+        usual = sum(tried for _, tried in self.lately) / max(1, now - self.lately[0][0]) * S
+        self.want = max(usual, seen) if self.tried >= MANY else usual
+        self.tried, self.since = 0, now
+
     def take_grant(self, said: Grant, now: int) -> bool:
         """Takes an answer in, once; a word that can't be one is counted and not obeyed."""
         most = self.budget.shared_rate * self.budget.life / S + self.budget.shared_burst
@@ -148,6 +169,7 @@
         if asked is None:
             self.odd += 1
             return False
+        self.answered = now
         for number in [number for number in self.asked if number < said.number]:
             del self.asked[number]  # answers come in their order: what was skipped is lost
         until = self.budget.ends(asked)
--- a/quartzrouter/sharing/shares.py
+++ b/quartzrouter/sharing/shares.py
@@ -13,6 +13,8 @@
 LOOKED_AT = 16  # for one that rests, where there is no room
 ASKS_AT_ONCE = 512  # in one line, 70 KB; the rest goes with the next
 IDLE_LIVES = 3  # without a req, after which a budget is asked for no more
+IDLE = 250_000  # us until the next look, where nothing is in use
+LEAST_WAIT = 5_000  # us between two looks
 PLAIN = 64  # characters of a tenant's name that are said as they are
 
 
@@ -22,7 +24,7 @@
     on_floor: int  # let through by the floor
     denied: int
     odd: int  # words that were not obeyed
-    cut_off: int  # budgets in use without anything granted
+    cut_off: int  # budgets in use of which no share comes
 
 
 NOTHING = Counts(0, 0, 0, 0)
@@ -133,10 +135,10 @@
                 said.append(share.ask(now))
         return tuple(said)
 
-    @property
-    def every(self) -> int:
-        """us between two looks at what is due; 0: nothing is ever asked for."""
-        return min((each.every for each in self.budgets.values()), default=0)
+    def wait(self) -> int:
+        """us until something is due to be asked for; what comes into use meanwhile is asked for at once."""
+        due = min((self.due.get(key, 0) for key in self.used), default=None)
+        return IDLE if due is None else max(LEAST_WAIT, due - self.steady())
 
     def granted(self, grants: Sequence[Grant]) -> None:
         now = self.steady()
@@ -158,6 +160,6 @@
                 sum(each.on_floor for each in of.values()),
                 sum(each.denied for each in of.values()),
                 sum(each.odd for each in of.values()),
-                sum(key in self.used and not each.granted(now) for key, each in of.items()),
+                sum(key in self.used and each.cut_off(now) for key, each in of.items()),
             )
         return found
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -3,12 +3,14 @@
 Where the plan names a ledger of purges, what it says are events as well, and every copy that comes is judged.
 """
 
+import logging
+from dataclasses import replace
 from typing import NamedTuple
 
 from quartzrouter.force.force import Force
 from quartzrouter.force.ruling import vhost_name
 from quartzrouter.interface import Effect as Repeats
-from quartzrouter.interface import Ending, Req
+from quartzrouter.interface import Ending, Req, Sight
 from quartzrouter.ledger.link import Hang, Linked, Said, Tell
 from quartzrouter.net import answer
 from quartzrouter.net.journal import Lines
@@ -17,10 +19,15 @@
 )  # fmt: skip
 from quartzrouter.plan.model import Plan
 from quartzrouter.purges.follower import Apply, End, Follower, Say
-from quartzrouter.purges.words import Asks, Caught, Grants
+from quartzrouter.purges import words
+from quartzrouter.purges.words import Asks, Caught, Grants, Judged, Sights
 from quartzrouter.sharing.budget import Refusal
+from quartzrouter.sharing.council import HOLDS_MOST, LEFT_OUT, SIGHTS_MOST
 
 
+log = logging.getLogger("quartzrouter.control")  # what changes the decisions is told where they are
+
+NAMED = 5  # witnesses in a line
 REFUSED_MOST = 64  # kept until they are told of
 
 
@@ -31,6 +38,10 @@
     lines: Lines | None
 
 
+class TellSights(NamedTuple):
+    """Time to tell others what has been seen of caches."""
+
+
 class AskShares(NamedTuple):
     """Time to see which shares are to be asked for."""
 
@@ -42,14 +53,18 @@
         super().__init__(force)
         self.force, self.follower = force, follower
         self.denied: dict[str, int] = {}  # reqs turned away before a dispatch, by limit
+        self.seen: dict[str, Sight] = {}  # as last told to others
+        self.hearsay: dict[str, int] = {}  # caches that are left out by others' word, and until when
         self.refused: dict[str, Refusal] = {}  # asks for shares that were not obeyed, until told
 
     def step(
-        self, event: Event | NewPlan | Linked | Said | AskShares, now: int
+        self, event: Event | NewPlan | Linked | Said | AskShares | TellSights, now: int
     ) -> list[Effect | Tell | Hang]:
         match event:
             case AskShares():
                 return self._asks()
+            case TellSights():
+                return self._sights(now)
             case Linked():
                 return [Tell(self.follower.begin(now))]
             case Said(said):
@@ -71,8 +86,10 @@
                     fleet.caught = caches
                 case Grants():
                     self._granted(given)
-                case Say(words):
-                    effects.append(Tell(words))
+                case Judged(judgements):
+                    self._judged(judgements, now)
+                case Say(told):
+                    effects.append(Tell(told))
                 case End(reason, come_back):
                     effects.append(Hang(reason, come_back))
         return effects
@@ -83,6 +100,29 @@
             return []
         return [Tell(Asks(asks))]
 
+    def _sights(self, now: int) -> list[Tell]:
+        """What this router has seen itself since it last told."""
+        if not (self.follower and self.follower.judges):
+            return []
+        before, self.seen = self.seen, self.force.sights(now)
+        said = []
+        for name, new in list(self.seen.items())[:SIGHTS_MOST]:
+            old = before.get(name) or replace(new, done=0, failed=0, in_hand=0)
+            good, bad = max(0, new.done - old.done), max(0, new.failed - old.failed)
+            begun = max(0, good + bad + new.in_hand - old.in_hand)
+            said.append(words.Sight(name, new.out, good, bad, new.in_hand, begun))
+        return [Tell(Sights(self.force.arguments["home"], tuple(said)))]
+
+    def _judged(self, judgements: tuple[words.Judgement, ...], now: int) -> None:
+        """Leaves caches out for as long as others say, as few as may be; each ends by itself."""
+        most = int(LEFT_OUT * len(self.force.sights(now)))
+        until = {each.cache: now + min(each.ends, HOLDS_MOST) for each in judgements[:most] if each.ends > 0}
+        for cache in until.keys() - self.hearsay.keys():
+            by = next(each.by for each in judgements if each.cache == cache)
+            log.info("%s is left out by the word of %s", cache, ", ".join(by[:NAMED]))
+        self.hearsay = until
+        self.force.left_out(until, now)
+
     def _granted(self, said: Grants) -> None:
         self.force.shares.granted(said.grants)
         for budget, refusal in said.refused.items():
--- a/quartzrouter/site/serve.py
+++ b/quartzrouter/site/serve.py
@@ -19,10 +19,9 @@
 from quartzrouter.site import purges
 from quartzrouter.site.asking import Asking
 from quartzrouter.site.logs import Structured
+from quartzrouter.sharing.council import TELL_EVERY
 from quartzrouter.sharing.shares import NOTHING, Counts, Shares, shown
-from quartzrouter.site.reducer import AskShares, NewPlan, PlannedReducer
-
-IDLE = 250_000  # us between two looks whether a plan has come that shares limits
+from quartzrouter.site.reducer import AskShares, NewPlan, PlannedReducer, TellSights
 
 
 class Planned(serve.Service):
@@ -65,6 +64,8 @@
         self.tasks.start_soon(self._tell)
         self.tasks.start_soon(self._ask_shares)
         self.tasks.start_soon(self._tell_shares)
+        if self.plan.deployment["hearsay"]:
+            self.tasks.start_soon(self._tell_sights)
         if told["file"]:
             self.tasks.start_soon(self._save, told["file"])
 
@@ -85,10 +86,13 @@
 
     async def _ask_shares(self) -> None:
         while True:
-            every = self.force.shares.every
-            await anyio.sleep((every or IDLE) / 1e6)
-            if every:
-                self.feed(AskShares())
+            await anyio.sleep(self.force.shares.wait() / 1e6)
+            self.feed(AskShares())
+
+    async def _tell_sights(self) -> None:
+        while True:
+            await anyio.sleep(TELL_EVERY / 1e6)
+            self.feed(TellSights())
 
     async def _tell_shares(self) -> None:
         """Says when this router begins and ends to act on its floor, and which asks were not obeyed."""
--- a/quartzrouter/stand/checks.py
+++ b/quartzrouter/stand/checks.py
@@ -7,8 +7,8 @@
 from quartzrouter.stand.history import Event, History
 
 
-def in_hand(history: History, prefix: str) -> tuple[int, int]:
-    """The most reqs that were at caches at a time, each req once, and when (us)."""
+def in_hand(history: History, prefix: str, since: int = 0) -> tuple[int, int]:
+    """The most reqs that were at caches at a time from then on, each req once, and when (us)."""
     steps: list[tuple[int, int, str]] = []
     for event in history.of("arrive", "leave"):
         if event.told["path"].startswith(prefix):
@@ -19,7 +19,7 @@
         here[path] = here.get(path, 0) + step
         if not here[path]:
             del here[path]
-        if len(here) > most:
+        if len(here) > most and at >= since:
             most, when = len(here), at
     return most, when
 
--- a/quartzrouter/stand/clocks.py
+++ b/quartzrouter/stand/clocks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from quartzrouter.net.serve import clock, steady
+from quartzrouter.net.clock import clock, steady
 
 PAGE = struct.Struct("=qq")  # us by which the wall clock is off; parts in a million by which both run fast
 
--- a/quartzrouter/stand/counting.py
+++ b/quartzrouter/stand/counting.py
@@ -16,12 +16,13 @@
 class CountingCache(Server):
     """:param delay: s that a req takes, by its path.
 
-    `bad` is the share of reqs that it answers with an error, `hangs` whether it answers none.
+    `bad` is the share of reqs that it answers with an error, `hangs` whether it answers none, `notices`
+    whether it gives up a req whose router has hung up.
     """
 
     def __init__(self, name: str, history: History, chance: random.Random, delay: Callable[[str], float]):
         self.name, self.history, self.chance, self.delay = name, history, chance, delay
-        self.bad, self.hangs = 0.0, False
+        self.bad, self.hangs, self.notices = 0.0, False, True
 
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
         async with stream:
@@ -45,9 +46,13 @@
         path = head.partition(b"X-Path: ")[2].partition(b"\r\n")[0].decode()
         self.history.add("arrive", self.name, path=path)
         how = "called off"
+        delay = 60.0 if self.hangs else self.delay(path)
         try:
-            with anyio.move_on_after(60.0 if self.hangs else self.delay(path)):
-                data += await stream.receive()
+            if self.notices:
+                with anyio.move_on_after(delay):
+                    data += await stream.receive()
+            else:
+                await anyio.sleep(delay)
             wrong = self.chance.random() < self.bad
             await stream.send(LOST_ANSWER if wrong else WHOLE)
             how = "failed" if wrong else "answered"
--- a/quartzrouter/stand/fleet.py
+++ b/quartzrouter/stand/fleet.py
@@ -1,6 +1,7 @@
 """A fleet of processes: routers, ledgers, couriers, each with its clocks, and a link from each to each."""
 
 import random
+import socket
 from collections.abc import Sequence
 from pathlib import Path
 from typing import NamedTuple
@@ -14,7 +15,6 @@
 from quartzrouter.stand.history import History
 from quartzrouter.stand.links import Link
 from quartzrouter.stand.parties import Party
-from quartzrouter.standin.loopback import free_port
 
 UP_WITHIN = 20.0  # s for a process to listen: Python starts in one, many at once on few cores in more
 JOINED_WITHIN = 15.0
@@ -43,6 +43,7 @@
         self.others: list[Party] = []
         self.ports: list[int] = []  # of routers
         self.ledger_ports: list[int] = []
+        self.held: list[socket.socket] = []  # for as long as the fleet is there
         self.links: list[list[Link]] = []  # of each router, to each ledger
         self.logs = open(folder / "log", "ab")  # noqa: SIM115 - for as long as the children live
 
@@ -53,7 +54,7 @@
         guards: Sequence[str] = (), folder: str = "ledger",
     ) -> Party:  # fmt: skip
         """:param standby: the ledger, by its number, that it takes over from."""
-        port = await free_port()
+        port = self._port()
         beside = f"127.0.0.1:{self.ledger_ports[standby]}" if standby is not None else "-"
         at, n = self.folder / folder, len(self.ledgers)
         told = ["ledger", str(at), f"127.0.0.1:{port}", str(self.grace), str(plan or "-"), beside, *guards]
@@ -67,7 +68,7 @@
         for link in links:
             await link.start(tasks)
         self.links.append(links)
-        self.ports.append(await free_port())
+        self.ports.append(self._port())
         return len(self.links) - 1
 
     def add_router(self, n: int, plan: str, clocks: Clocks = TRUE, guards: Sequence[str] = ()) -> Party:
@@ -81,6 +82,14 @@
         self.others.append(self._party(name, ["cli", *words], Clocks()))
         return self.others[-1]
 
+    def _port(self) -> int:
+        """A port that nobody else gets: held by a socket that doesn't listen, beside which its party may."""
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        self.held.append(held)
+        return held.getsockname()[1]
+
     def plan_of(self, n: int) -> Path:
         return self.folder / f"r{n}.plan"
 
@@ -95,6 +104,8 @@
     def end(self) -> None:
         for party in self.parties:
             party.kill()
+        for held in self.held:
+            held.close()
         self.logs.close()
 
     def log(self) -> str:
--- a/quartzrouter/stand/guards.py
+++ b/quartzrouter/stand/guards.py
@@ -5,7 +5,7 @@
 
 from quartzrouter.ledger.log import Log
 from quartzrouter.ledger.serve import Ledger
-from quartzrouter.net.serve import clock
+from quartzrouter.net.clock import clock
 from quartzrouter.purges.fleet import Fleet
 from quartzrouter.purges.lease import Lease
 from quartzrouter.purges.marks import Marks
--- a/quartzrouter/stand/history.py
+++ b/quartzrouter/stand/history.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from quartzrouter.net.serve import steady
+from quartzrouter.net.clock import steady
 
 
 class Event(NamedTuple):
--- a/quartzrouter/stand/links.py
+++ b/quartzrouter/stand/links.py
@@ -11,6 +11,7 @@
 
 LOOK_EVERY = 0.005  # s between looks whether a held way is open again
 READ = 1 << 16
+UNDER_WAY = 4_096  # pieces of a connection and way
 
 
 @dataclass
@@ -19,12 +20,13 @@
 
     :param held: nothing passes, and nobody is told.
     :param late: s by which each line is late.
-    :param spoil: the share of lines that are lost, doubled or swapped with the next.
+    :param spoil: the share of lines that are lost, doubled or swapped with the next, as `only` says.
     """
 
     held: bool = False
     late: float = 0.0
     spoil: float = 0.0
+    only: tuple[str, ...] = ("lose", "double", "swap")
     spoilt: int = 0
 
 
@@ -90,30 +92,37 @@
             await self._carry(server, client, self.down, tasks.cancel_scope)
 
     async def _carry(self, source, sink, way: Way, scope: anyio.CancelScope) -> None:
+        """What is late is under way together: each piece by its own time, none ahead of another."""
+        give, take = anyio.create_memory_object_stream(UNDER_WAY)
+
+        async def read() -> None:
+            async with give:
+                async for piece in self._pieces(source, way):
+                    await give.send((anyio.current_time() + way.late, piece))
+
         try:
-            async for piece in self._spoilt(source, way):
-                await sink.send(piece)
-        except LOST:
+            async with anyio.create_task_group() as tasks, take:
+                tasks.start_soon(read)
+                async for due, piece in take:
+                    await anyio.sleep(max(0.0, due - anyio.current_time()))
+                    await _opened(way)
+                    await sink.send(piece)
+                tasks.cancel_scope.cancel()
+        except* LOST:
             pass
         scope.cancel()
 
-    async def _spoilt(self, source, way: Way) -> AsyncIterator[bytes]:
+    async def _pieces(self, source, way: Way) -> AsyncIterator[bytes]:
+        """What comes from one side, spoilt."""
         if not self.by_line:
             while True:
-                piece = await source.receive(READ)
-                await _opened(way)
-                if way.late:
-                    await anyio.sleep(way.late)
-                yield piece
+                yield await source.receive(READ)
         kept: bytes | None = None
         async for line in lines(source):
-            await _opened(way)
-            if way.late:
-                await anyio.sleep(way.late)
             out = [line]
             if way.spoil and self.chance.random() < way.spoil:
                 way.spoilt += 1
-                what = self.chance.choice(("lose", "double", "swap"))
+                what = self.chance.choice(way.only)
                 out = [] if what == "lose" else [line, line] if what == "double" else []
                 if what == "swap":
                     kept = line
--- a/quartzrouter/stand/parties.py
+++ b/quartzrouter/stand/parties.py
@@ -31,6 +31,9 @@
         return self.process is not None and self.process.poll() is None
 
     def start(self) -> None:
+        """Starts it, where it doesn't run: two faults at a time may both want to."""
+        if self.runs:
+            return
         words = [sys.executable, "-m", "quartzrouter.stand.child", str(self.page.path), *self.arguments]
         self.process = subprocess.Popen(words, stdout=self.log, stderr=self.log)
         self.history.add("start", self.name)
--- a/quartzrouter/standin/boxes.py
+++ b/quartzrouter/standin/boxes.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from quartzrouter.net.serve import clock
+from quartzrouter.net.clock import clock
 from quartzrouter.purges.marks import Asked, Marks
 from quartzrouter.purges.words import Purge
 from quartzrouter.standin.loopback import Server, heads
--- /dev/null
+++ b/tests/test_council.py
@@ -0,0 +1,235 @@
+"""What routers tell each other of caches: who is a witness, what is left out, what is unknown."""
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from quartzrouter.interface import Ending
+from quartzrouter.rehearse.sharing import FEW, Fault, play
+from quartzrouter.sharing import council as module
+from quartzrouter.sharing.council import HOLDS, QUIET, SIGHT_LIFE, TELL_EVERY, Council, Sight
+from test_force import Played
+
+S = 1_000_000
+CACHES = [f"n{n}" for n in range(9)]
+
+
+class Store:
+    """Routers that tell in turn of nine caches; `fails` gives those that fail each."""
+
+    def __init__(self, routers=6):
+        self.council, self.now, self.routers = Council(), 100 * S, routers
+        self.fails = {n: set() for n in range(routers)}
+        self.tokens = dict.fromkeys(range(routers), "t")
+        self.silent = set()
+
+    def play(self, rounds):
+        for _ in range(rounds):
+            self.now += TELL_EVERY
+            for n in set(range(self.routers)) - self.silent:
+                sights = [
+                    Sight(cache, False, 0, 2, 1, 2)
+                    if cache in self.fails[n]
+                    else Sight(cache, False, 3, 0, 2, 3)
+                    for cache in CACHES
+                ]
+                assert self.council.hear(f"r{n}", self.tokens[n], "north", tuple(sights), self.now)
+        return [each.cache for each in self.council.judged("north", self.now)]
+
+    def fail(self, cache, routers):
+        for n in routers:
+            self.fails[n].add(cache)
+
+
+def test_a_cache_that_fails_most_is_left_out_and_comes_back_by_itself():
+    store = Store()
+    store.fail("n3", range(5))
+    assert store.play(5) == ["n3"]
+    (judgement,) = store.council.judged("north", store.now)
+    assert judgement.by == ("r0", "r1", "r2", "r3", "r4") and judgement.against == ("r5",)
+    assert 0 < judgement.ends <= HOLDS and judgement.failures > 10
+    store.silent = set(range(6))  # nobody sends there any more, or nobody is heard
+    assert store.play(12) == []  # it has ended
+
+
+@pytest.mark.parametrize("routers", [(0,), (0, 1, 2)])
+def test_few_take_no_cache_from_the_others(routers):
+    store = Store()
+    store.fail("n3", routers)
+    assert store.play(10) == []
+
+
+def test_a_router_that_is_cut_off_itself_is_no_witness(monkeypatch):
+    def played():
+        store = Store(3)
+        for cache in CACHES[:6]:
+            store.fail(cache, (0,))
+        store.fail("n1", (1,))
+        return store.play(10)
+
+    assert played() == []
+    monkeypatch.setattr(module, "_cut_off", lambda voice: False)
+    assert played() == ["n1"]  # by its word and one more's
+
+
+def test_few_caches_are_ever_left_out(monkeypatch):
+    def played():
+        store = Store()
+        for cache in CACHES[:4]:  # fewer than half, so that nobody is taken for cut off
+            store.fail(cache, range(6))
+        return store.play(10)
+
+    assert len(played()) == 3
+    monkeypatch.setattr(module, "LEFT_OUT", 1.0)
+    assert len(played()) == 4
+
+
+def test_errors_that_all_caches_show_take_none():
+    store = Store()
+    for now in range(10):
+        store.now += TELL_EVERY
+        for n in range(6):
+            sights = tuple(Sight(cache, False, 1, 1 + (cache == "n0") * (now % 2)) for cache in CACHES)
+            store.council.hear(f"r{n}", "t", "north", sights, store.now)
+    assert store.council.judged("north", store.now) == ()
+
+
+def test_a_cache_that_flaps_is_left_out_for_longer_each_time():
+    store, spans = Store(), []
+    for _ in range(5):
+        store.fail("n3", range(6))
+        assert store.play(8) == ["n3"]
+        store.fails = {n: set() for n in range(6)}
+        left = 0
+        while store.play(1):
+            left += 1
+        spans.append(left * TELL_EVERY)
+    assert (
+        spans == sorted(spans) and spans[-1] >= 4 * spans[0] and spans[-1] <= module.HOLDS_MOST + SIGHT_LIFE
+    )
+    store.now += QUIET + S
+    store.fail("n3", range(6))
+    store.play(8)
+    assert store.council.judged("north", store.now)[0].ends <= HOLDS  # the first again
+
+
+def test_two_halves_that_judge_differently_agree_once_they_meet():
+    halves = Store(), Store()
+    halves[0].fail("n3", range(6))
+    assert halves[0].play(6) == ["n3"] and halves[1].play(6) == []
+    one = Store()  # where all meet, half of them hurt: no more for than against
+    one.fail("n3", range(3))
+    assert one.play(1) == one.play(15) == []
+
+
+def test_counts_tell_what_is_out_with_age_and_error_and_unknown_where_one_is_silent():
+    store = Store(3)
+    store.play(6)
+    count = {each.cache: each for each in store.council.counts("north", store.now)}["n0"]
+    assert count == ("n0", 6, 0, 0, 3)
+    later = store.now + TELL_EVERY
+    assert store.council.counts("north", later)[0] == ("n0", 6, TELL_EVERY, 9, 3)
+    store.silent = {2}
+    store.play(7)
+    assert store.council.counts("north", store.now)[0].in_hand == -1  # never less by one who isn't heard
+    store.tokens[2] = "again"
+    store.silent = set()
+    assert not store.play(1) and store.council.counts("north", store.now)[0].in_hand == 6
+    store.silent = {2}
+    store.play(6)
+    store.council.left("r2")
+    assert store.council.counts("north", store.now)[0].in_hand == 4
+    store.silent = {0, 1, 2}
+    store.now += QUIET + S
+    store.council.trim(store.now)
+    assert store.council.counts("north", store.now) == () and not store.council.voices
+
+
+@pytest.mark.parametrize(
+    "sight", [Sight("", False), Sight("n" * 65, False), Sight("n", False, -1), Sight("n", False, 0, 0, 10**9)]
+)  # fmt: skip
+def test_words_that_a_council_does_not_obey(sight):
+    council = Council()
+    assert not council.hear("r", "t", "north", (sight,), S) and council.odd == 1 and not council.voices
+    assert not council.hear("r", "t", "north", (Sight("n", True),) * (module.SIGHTS_MOST + 1), S)
+
+
+# -- at a router, and between processes ----------------------------------------------------------------------
+
+
+def asked(played, reqs):
+    """Which caches some reqs go to, all answered well or not, by cache."""
+    found = Counter()
+    for n in range(reqs):
+        played.now += 10_000
+        answer = played.req(f"/x{n}")
+        found[answer.be] += 1
+        played.end(Ending.DONE)
+    return found
+
+
+def test_hearsay_leaves_a_cache_out_until_it_ends():
+    played = Played()
+    caches = {
+        sight.cache for sight in played.force.sights(played.now).values() if sight.cache.startswith("n")
+    }
+    bad = sorted(caches)[0]
+    assert set(asked(played, 80)) == caches
+    played.now += S
+    played.force.left_out({bad: played.now + 5 * S}, played.now)
+    assert set(asked(played, 80)) == caches - {bad}
+    played.now += 5 * S
+    assert bad in asked(played, 80)
+    played.now += S
+    played.force.left_out({bad: played.now + 5 * S}, played.now)
+    played.force.left_out({}, played.now)  # others have nothing against it any more
+    assert bad in asked(played, 80)
+
+
+def test_what_a_router_saw_itself_lately_goes_first():
+    played = Played()
+    bad = sorted(asked(played, 80))[0]
+    played.force.left_out({bad: played.now + 5 * S}, played.now)  # it served well a moment ago
+    assert bad in asked(played, 80)
+    assert played.force.sights(played.now)[bad].done > 0
+
+
+def test_all_caches_left_out_is_as_none():
+    played = Played()
+    names = set(asked(played, 80))
+    played.now += S
+    played.force.left_out(dict.fromkeys(names, played.now + 5 * S), played.now)
+    assert asked(played, 40)
+
+
+SHAPE = replace(
+    FEW, rate=4_000, burst=4_000, floors="100%", demand=150.0, uneven=1 / 6, askers=0, caches=6,
+    cache_links=True, timeout="1s", seconds=5.0, hearsay="true",
+)  # fmt: skip
+
+
+def test_processes_leave_a_cache_that_all_but_one_can_not_reach():
+    """Alone, three in ten reqs wait for it again and again; together, seven in a hundred."""
+    parted = [Fault(1500, "part", f"r{n}/0", 4000) for n in range(1, 6)]
+    seen = play(random.Random(1), SHAPE, parted)
+    ends = {event.told["path"]: event.at for event in seen.fleet.history.of("end")}
+    waits = [
+        ends.get(event.told["path"], event.at + S) - event.at
+        for event in seen.fleet.history.of("send")
+        if event.at > seen.began + 2.5 * S and "/r0." not in event.told["path"]
+    ]
+    print(len(waits), sum(wait > S // 4 for wait in waits))
+    assert sum(wait > S // 4 for wait in waits) < 0.2 * len(waits) and not (seen.lost or seen.faults)
+
+
+def test_processes_leave_no_cache_by_the_word_of_one_that_is_cut_off_itself():
+    seen = play(random.Random(1), SHAPE, [Fault(1500, "part", "r0", 4000)])
+    reached = Counter(
+        event.who
+        for event in seen.fleet.history.of("arrive")
+        if event.at > seen.began + 2.5 * S and "/r0." not in event.told["path"]
+    )
+    assert len(reached) == 6 and min(reached.values()) > 10, reached
+    assert not (seen.lost or seen.faults)
--- /dev/null
+++ b/tests/test_shared_limits.py
@@ -0,0 +1,278 @@
+"""Limits of a store or the fleet: in the plan, at one router, and on the ledger's lines."""
+
+import json
+from dataclasses import replace
+
+import anyio
+import pytest
+from click.testing import CliRunner
+
+from quartzrouter.cli.main import cli
+from quartzrouter.force.limits import Key, Limits
+from quartzrouter.force.shared import budgets
+from quartzrouter.ledger.serve import Ledger
+from quartzrouter.ledger.wire import connect, lines
+from quartzrouter.net.report import Report
+from quartzrouter.net.serve import clock
+from quartzrouter.plan.load import load
+from quartzrouter.plan.model import Limit
+from quartzrouter.purges import words
+from quartzrouter.purges.words import AskBudgets, Asks, Grants, Hello, Welcome, line
+from quartzrouter.sharing import shares as module
+from quartzrouter.sharing.budget import Ask, Budget, Grant
+from quartzrouter.sharing.granter import POTS_MOST, Granter
+from quartzrouter.sharing.shares import Shares
+from quartzrouter.standin.disk import FaultyDisk
+
+S = 1_000_000
+CALLS = Budget("calls", rate=50.0, burst=20.0, floors=0.2, routers=4)
+CROWD = Budget("crowd", slots=8, hold=S, floors=0.5, routers=4)
+
+PLAN = """{
+  deployment: { name: "t", home: "north", routers: 6, routers_here: 2 },
+  stores: { north: { hub: "h" }, south: { hub: "h" } }, hubs: { h: {} },
+  caches: { n: { address: "127.0.0.1:1", at: "north" }, s: { address: "127.0.0.1:2", at: "south" } },
+  vhosts: {
+    page: { effect: "replayable", client_timeout: 3s }, slow: { effect: "replayable", client_timeout: 9s },
+  },
+  %s
+  pools: { near: {} },
+  limits: {
+    calls: { rate: 60/s, burst: 30, across: "fleet" },
+    crowd: { concurrent: 12, across: "store", floors: 50%% },
+    own: { rate: 5/s },
+  },
+  routes: {
+    slow: { match: { path: "/slow/**" }, vhost: "slow", pool: "near", limits: ["crowd"] },
+    all: { match: {}, vhost: "page", pool: "near", limits: ["calls", "crowd", "own"] },
+  },
+}"""
+PURGES = 'purges: { ledgers: "127.0.0.1:7700" },'
+
+
+def test_a_plan_names_a_budget_for_the_fleet_and_one_for_each_store():
+    plan = load("main", lambda path: PLAN % PURGES).plan
+    found = {each.name: each for each in budgets(plan, plan.stores)}
+    assert set(found) == {"calls", "crowd@north", "crowd@south"}
+    assert found["calls"] == Budget("calls", 60.0, 30.0, floors=0.2, routers=6)
+    assert found["crowd@north"] == Budget("crowd@north", slots=12, hold=9 * S, floors=0.5, routers=2)
+
+
+def test_a_shared_limit_without_a_ledger_is_a_fault_of_the_plan():
+    faults = load("main", lambda path: PLAN % "").faults.errors
+    assert len(faults) == 2 and "no ledger is named" in faults[0].reason
+
+
+# -- at one router -------------------------------------------------------------------------------------------
+
+
+class Router:
+    def __init__(self, *of, limits=None):
+        self.now = 100 * S
+        self.shares = Shares(of, "r", "t", lambda: self.now)
+        self.limits = Limits(limits or {}, self.shares, "north")
+
+    def granted(self, granter):
+        """Asks, and takes what is granted; gives the asks."""
+        asks = self.shares.asks()
+        self.shares.granted([said for ask in asks if isinstance(said := granter.ask(ask, self.now), Grant)])
+        return asks
+
+
+def test_a_req_counts_in_shared_limits_or_in_none():
+    limits = {
+        "crowd": Limit("crowd", "all", concurrent=8, across="fleet"),
+        "own": Limit("own", "all", rate=1.0, burst=1),
+    }
+    router = Router(CROWD, limits=limits)
+    keys = [Key("crowd", ""), Key("own", "")]
+    router.now += 2 * S
+    assert router.limits.admit(1, keys, 1.0, 0) is None  # on the floor's one slot
+    assert router.limits.admit(2, keys, 1.0, 0).limit == "own"  # asked first: it is no demand for a slot
+    assert router.shares.shares["crowd"].short == 0
+    denied = router.limits.admit(3, keys, 1.0, 5 * S)
+    assert denied.limit == "crowd" and denied.come_back == CROWD.every
+    router.limits.release(1)
+    router.limits.release(1)
+    assert router.limits.admit(4, keys, 1.0, 5 * S) is None and router.shares.shares["crowd"].in_use == 1
+
+
+def test_tenants_have_a_budget_each_and_are_asked_for_while_they_are_used():
+    router, granter = Router(CALLS), Granter([CALLS], 0, alone=True)
+    name = router.shares.key("calls", "a tenant/" + "x" * 200)
+    assert name.startswith("calls/#") and len(name) < 30 and router.shares.key("calls", "") == "calls"
+    for tenant in ("anna", "bert"):
+        for _ in range(30):
+            if not router.shares.may(key := router.shares.key("calls", tenant)):
+                router.shares.take(key)
+    assert router.shares.fresh  # nothing is held of them: asked for at once
+    assert [ask.budget for ask in router.granted(granter)] == ["calls/anna", "calls/bert"]
+    assert not router.shares.fresh and not router.shares.asks() and router.shares.wait() > 0
+    assert all(router.shares.may(f"calls/{tenant}") == 0 for tenant in ("anna", "bert"))
+    router.now += 10 * S
+    assert not router.shares.asks() and router.shares.wait() == module.IDLE  # unused, no more asked for
+
+
+def test_a_share_that_is_forgotten_counts_its_asks_on_and_gains_no_floor(monkeypatch):
+    """Its asks began with 1 again, and the granter took them for late words for good."""
+    monkeypatch.setattr(module, "SHARES_MOST", 1)
+    router, granter = Router(CALLS), Granter([CALLS], 0, alone=True)
+    router.now += 2 * S
+
+    def floors(tenant):
+        used = 0
+        while not router.shares.may(f"calls/{tenant}"):
+            router.shares.take(f"calls/{tenant}").ended()
+            used += 1
+        return used
+
+    assert floors("anna") == 1 and router.granted(granter)
+    for _ in range(3):
+        floors("bert")
+        assert floors("anna") == 0  # else a floor again and again
+    router.now += S // 4
+    asks = router.granted(granter)
+    assert granter.refused == 0 and asks[0].number > 1
+
+
+def test_a_new_plan_keeps_what_stays_and_drops_what_it_had_of_what_changes():
+    router, granter = Router(CALLS, CROWD), Granter([CALLS, CROWD], 0, alone=True)
+    router.now += 2 * S
+    for _ in range(20):
+        router.shares.may("calls")
+    assert router.shares.may("crowd") == 0
+    share = router.shares.take("crowd")
+    router.shares.may("crowd")
+    router.granted(granter)
+    assert router.shares.shares["crowd"].slots and router.shares.shares["calls"].left(router.now) > 1
+    router.shares.replace([CALLS, replace(CROWD, slots=6)])
+    assert router.shares.shares["crowd"].slots == 0 and router.shares.shares["calls"].left(router.now) > 1
+    assert router.shares.shares["crowd"].in_use == 1
+    router.shares.replace([CALLS])
+    share.ended()  # of a budget that is gone
+    assert set(router.shares.shares) == {"calls"}
+
+
+def test_pots_are_bounded_and_one_made_anew_is_empty():
+    granter = Granter([CALLS], 0, alone=True)
+
+    def ask(of, number):
+        said = Ask(f"calls/{of}", "r", "t", number, want=500.0, figures=CALLS.figures)
+        return granter.ask(said, 100 * S)
+
+    assert ask("first", 1).tokens > 15
+    for n in range(POTS_MOST):
+        assert isinstance(ask(n, 1), Grant)
+    assert len(granter.pots) == POTS_MOST and "calls/first" not in granter.pots
+    assert ask("first", 1).tokens == 0
+
+
+# -- on the ledger's lines -----------------------------------------------------------------------------------
+
+
+def talk(scene, of=(CALLS,)):
+    """A scene with a ledger that grants, if there are budgets, and a member's line to it."""
+
+    async def main():
+        ledger = Ledger(FaultyDisk(), 300_000, Report("ledger", clock), budgets=list(of))
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ledger.run, [listener])
+                async with await connect(("127.0.0.1", port)) as stream:
+                    heard = lines(stream)
+
+                    async def until(kind):
+                        async for data in heard:
+                            if isinstance(said := words.from_ledger(data), kind):
+                                return said
+
+                    async def tell(said):
+                        await stream.send(line(said))
+
+                    await scene(ledger, tell, until, port)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+GOOD = Ask("calls", "r", "t", 1, want=5.0, figures=CALLS.figures)
+
+
+@pytest.mark.parametrize(
+    "bad, place",
+    [
+        (GOOD._replace(budget="fills"), "budget"), (GOOD._replace(want=-1.0), "want"),
+        (GOOD._replace(left=1e12), "left"), (GOOD._replace(slots=-3), "slots"),
+        (GOOD._replace(figures=7), "figures"), (GOOD._replace(name="s"), "name"),
+        (GOOD._replace(token="other"), "name"),
+    ],
+)  # fmt: skip
+def test_an_ask_that_is_not_obeyed_gets_its_reason_and_the_line_goes_on(bad, place):
+    async def scene(ledger, tell, until, port):
+        await tell(Hello("r", "router", "t"))
+        assert (await until(Welcome)).grants
+        await tell(Asks((bad,)))
+        said = await until(Grants)
+        assert not said.grants and said.refused[bad.budget].place == place
+        await tell(Asks((GOOD,)))
+        assert (await until(Grants)).grants[0].number == 1
+        assert ledger.granter.refused + ledger.strangers == 1
+
+    talk(scene)
+
+
+def test_late_words_are_counted_and_answered_with_nothing():
+    async def scene(ledger, tell, until, port):
+        await tell(Hello("r", "router", "t"))
+        await tell(Asks((GOOD, GOOD)))
+        said = await until(Grants)
+        assert len(said.grants) == 1 and not said.refused and ledger.granter.refused == 1
+
+    talk(scene)
+
+
+def test_a_ledger_without_budgets_says_so_and_passes_asks_over():
+    async def scene(ledger, tell, until, port):
+        await tell(Hello("r", "router", "t"))
+        assert not (await until(Welcome)).grants
+        await tell(Asks((GOOD,)))
+        assert (await until(words.Beat)).epoch == 1
+
+    talk(scene, of=())
+
+
+def test_a_welcome_of_an_older_ledger_grants_nothing():
+    said = words.from_ledger(b'{"say":"welcome","epoch":1,"head":0,"now":5,"lease":9}')
+    assert not said.grants
+
+
+def test_the_fleets_budgets_are_told():
+    async def scene(ledger, tell, until, port):
+        await tell(Hello("r", "router", "t"))
+        await tell(Asks((GOOD,)))
+        await until(Grants)
+
+        def called(*arguments):
+            made = CliRunner().invoke(cli, ("fleet", *arguments, "--ledger", f"127.0.0.1:{port}"))
+            assert made.exit_code == 0, made.output
+            return made.output
+
+        shown = await anyio.to_thread.run_sync(called, "budgets")
+        assert "calls: 50/s" in shown and "wants      5.0/s" in shown
+        told = json.loads(await anyio.to_thread.run_sync(called, "budgets", "--json"))
+        assert told[0]["holders"][0]["name"] == "r" and told[0]["rate"] == 50
+        assert "1 budgets, 0 asks not obeyed" in await anyio.to_thread.run_sync(called, "status")
+        told = json.loads(await anyio.to_thread.run_sync(called, "status", "--json"))
+        assert told["budgets"] == 1 and told["silent"] == ["r"]  # it never acknowledged anything
+
+    talk(scene)
+
+
+def test_budgets_can_be_asked_for_before_any_hello():
+    async def scene(ledger, tell, until, port):
+        await tell(AskBudgets())
+        assert [each.budget for each in (await until(words.Budgets)).budgets] == ["calls"]
+
+    talk(scene)
--- /dev/null
+++ b/tests/test_stand.py
@@ -0,0 +1,228 @@
+"""The fleet stand: its checkers, schedules, links and clocks; and fleets of processes that share limits."""
+
+import contextlib
+import random
+from dataclasses import replace
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from quartzrouter.net.clock import Time
+from quartzrouter.rehearse import Tally
+from quartzrouter.rehearse.sharing import FEW, SCENES, Shape, play, rehearse
+from quartzrouter.sharing.budget import Budget, S
+from quartzrouter.stand import checks, schedule
+from quartzrouter.stand.clocks import Page, clocks
+from quartzrouter.stand.history import Event, History
+from quartzrouter.stand.links import Link
+from quartzrouter.stand.schedule import Fault
+from quartzrouter.standin.boxes import LOST
+
+# -- checkers ------------------------------------------------------------------------------------------------
+
+
+def history(*events):
+    """Events by hand: (us, what, path)."""
+    made = History()
+    made.events = [Event(at, what, "x", {"path": path, "status": "200"}) for at, what, path in events]
+    return made
+
+
+def test_reqs_in_hand_count_each_req_once():
+    seen = history(
+        (1, "arrive", "/a/1"), (2, "arrive", "/a/1"), (3, "arrive", "/a/2"), (4, "leave", "/a/1"),
+        (5, "arrive", "/b/1"), (5, "leave", "/a/1"), (5, "arrive", "/a/3"),
+    )  # fmt: skip
+    assert checks.in_hand(seen, "/a/") == (2, 3)
+    assert checks.in_hand(seen, "/a/", since=4)[0] == 2 and checks.in_hand(seen, "/c/") == (0, 0)
+
+
+def test_a_window_counts_what_was_surely_let_through_in_it():
+    budget = Budget("b", rate=10.0, burst=5.0, floors=0.0, routers=1, life=S)
+    at_once = [(n, n + 10) for n in range(60)]  # 60 reqs in 70 us, where 15 and 1 of a floor may be
+    excess, since, until = checks.over(at_once, budget)
+    assert excess == pytest.approx(60 - budget.most(until - since)) and (since, until) == (0, 69)
+    assert checks.over(at_once[:16], budget)[0] <= 0
+    waited = [(n, 10 * S) for n in range(60)]  # let through at any time in ten seconds
+    assert checks.over(waited, budget)[0] < 0
+
+
+def test_reqs_without_an_answer_are_found():
+    seen = history(
+        (0, "send", "/a/1"), (0, "send", "/a/2"), (0, "send", "/a/3"), (3, "end", "/a/1"), (9, "end", "/a/2"),
+        (4, "cut", "/a/4"), (9, "arrive", "/x"),
+    )  # fmt: skip
+    assert [event.told["path"] for event in checks.unanswered(seen, 5)] == ["/a/2", "/a/3"]
+    assert checks.answers(seen, "/a/", 0, 5) == {"200": 2, "none": 1}
+
+
+# -- schedules -----------------------------------------------------------------------------------------------
+
+
+def test_a_schedule_is_drawn_again_from_its_seed_written_and_read(tmp_path):
+    kinds = {"cut": (["a", "b"], (10, 500), (0, 1)), "stop": (["c"], (1, 2), (0,))}
+    first, again = (schedule.drawn(random.Random(4), kinds, 20, 3_000) for _ in range(2))
+    assert first == again and all(fault.at + fault.lasts <= 3_000 for fault in first)
+    schedule.write(tmp_path / "s", first)
+    assert schedule.read(tmp_path / "s") == first
+
+
+def test_a_schedule_is_cut_down_to_what_fails():
+    faults = [Fault(n, "cut", f"r{n}") for n in range(24)]
+    tried = []
+
+    def fails(some):
+        tried.append(len(some))
+        return {"r5", "r17"} <= {fault.who for fault in some}
+
+    assert [fault.who for fault in schedule.shrunk(faults, fails)] == ["r5", "r17"]
+    assert len(tried) <= 64
+    assert len(schedule.shrunk(faults, lambda some: False)) == 24
+
+
+# -- links and clocks ----------------------------------------------------------------------------------------
+
+
+def linked(scene):
+    """An echo of lines behind a link."""
+
+    async def main():
+        async def echo(stream):
+            async with stream:
+                while True:
+                    await stream.send(await stream.receive())
+
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        link = Link(("127.0.0.1", port), random.Random(1))
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+
+                async def serve(stream):
+                    with contextlib.suppress(*LOST):
+                        await echo(stream)
+
+                tasks.start_soon(listener.serve, serve)
+                await link.start(tasks)
+                async with await anyio.connect_tcp("127.0.0.1", link.port) as client:
+                    await scene(link, client)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def heard(client, within):
+    data = b""
+    with anyio.move_on_after(within):
+        while True:
+            data += await client.receive()
+    return data
+
+
+@pytest.mark.parametrize("way", ["up", "down"])
+def test_a_way_that_is_held_passes_nothing_until_it_is_healed(way):
+    async def scene(link, client):
+        getattr(link, way).held = True
+        await client.send(b"a\n")
+        assert await heard(client, 0.1) == b""
+        link.heal()
+        assert await client.receive() == b"a\n"
+
+    linked(scene)
+
+
+@pytest.mark.parametrize(
+    "only, said", [("lose", b""), ("double", b"a\na\nb\nb\n"), ("swap", b"")], ids=str
+)  # fmt: skip
+def test_lines_are_spoilt_as_told(only, said):
+    async def scene(link, client):
+        link.up.spoil, link.up.only = 1.0, (only,)
+        await client.send(b"a\nb\n")
+        assert await heard(client, 0.2) == said and link.spoilt == 2
+
+    linked(scene)
+
+
+def test_what_is_late_is_under_way_together_and_a_reset_ends_it():
+    async def scene(link, client):
+        link.up.late = 0.2
+        began = anyio.current_time()
+        await client.send(b"".join(b"%d\n" % n for n in range(20)))
+        data = b""
+        while data.count(b"\n") < 20:
+            data += await client.receive()
+        assert 0.2 <= anyio.current_time() - began < 2  # not twenty times as late
+        link.reset()
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            await client.receive()
+
+    linked(scene)
+
+
+def test_a_process_reads_its_clocks_off_the_page(tmp_path):
+    page = Page(tmp_path / "p", 5 * S, 100_000)
+    wall, even = clocks(str(page.path))
+    first, steadily = wall(), even()
+    page.jump(-5 * S)
+    assert -10.1 * S < wall() - first < -9 * S and 0 <= even() - steadily < S
+
+
+class Machine:
+    """A wall clock and a steady one, set by hand."""
+
+    def __init__(self):
+        self.wall = self.even = 1_000 * S
+        self.time = Time(lambda: self.wall, lambda: self.even)
+
+    def passes(self, time, off=0):
+        """The reads over that time, with the wall clock set off at its start."""
+        self.wall += off
+        read = []
+        for _ in range(time // 10_000):
+            self.wall, self.even = self.wall + 10_000, self.even + 10_000
+            read.append(self.time())
+        return read
+
+
+def test_time_goes_on_when_the_wall_clock_is_set_ahead_and_back():
+    """It stood still for as long as the clock had been ahead: no timer fired, and reqs had no answer."""
+    machine = Machine()
+    first = machine.passes(S)[-1]
+    machine.passes(S // 2, 10 * S)
+    read = machine.passes(2 * S, -10 * S)
+    steps = [after - before for before, after in zip(read, read[1:], strict=False)]
+    assert all(9_000 <= step <= 11_000 for step in steps)
+    assert abs(read[-1] - first - 2.5 * S) < 0.1 * S
+
+
+def test_time_follows_the_wall_clock():
+    machine = Machine()
+    assert machine.passes(12 * S, S)[-1] == machine.wall  # a second in ten
+    assert machine.passes(12 * S, -S)[-1] == machine.wall
+    assert machine.passes(10_000, 3_600 * S)[-1] == machine.wall  # it was wrong by an hour before
+
+
+# -- fleets --------------------------------------------------------------------------------------------------
+
+
+def test_six_routers_and_two_ledgers_share_limits_through_faults_of_all_kinds():
+    tally = Tally()
+    shape = Shape(routers=6, rate=60, slots=12, demand=80.0, askers=6, seconds=12.0, quiet=4_000)
+    rehearse(3, tally, shape=shape)
+    assert not tally.broken, (tally.broken, tally.figures)
+
+
+def test_a_clock_set_ahead_and_back_loses_no_req():
+    seen = play(random.Random(1), replace(FEW, seconds=4.5), [Fault(500, "jump", "r0", 300, 10.0)])
+    assert len(list(seen.fleet.history.of("send"))) > 100
+    assert not seen.broken and not seen.lost and not seen.faults
+
+
+@pytest.mark.parametrize("guard", ["a share doesn't end", "a share counts from its answer"])
+def test_checkers_see_a_guard_taken_out(guard):
+    """All thirteen are played by `quartzrouter rehearse guards`."""
+    shape, faults = SCENES[guard]
+    seen = play(random.Random(1), shape, faults, (guard,))
+    print(SimpleNamespace(**{key: getattr(seen, key) for key in ("over_rate", "over_slots", "most")}))
+    assert seen.broken
