A connection that the loop has closed ends no router: its socket is looked at before it is asked

Its log: ValueError 'negative file descriptor' from getsockopt in Seat.line, called by Front._make_room while a connection was to be accepted; nothing catches it there, so the process ended.

Cause: net/front.py, Seat._raw. Once a connection was looked at, the loop keeps its socket object; when it closes the connection it sets the descriptor to -1, and until the connection's own task runs it is still among the open ones. A connection never looked at raised what was caught, and only that was tested.

Change: _raw raises OSError for such a one, which all its callers know. The test looks at the connection first, and fails without the change with the same ValueError.

--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -283,9 +283,14 @@
     def _raw(self) -> socket.socket:
         """Its socket; raises OSError once the connection is closed here."""
         try:
-            return self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            held = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
         except Exception as error:  # of a closed one the library asks what isn't there
             raise OSError("closed") from error
+        if (
+            held.fileno() < 0
+        ):  # the loop has closed it, and its task hasn't run yet: asked, it raises ValueError
+            raise OSError("closed")
+        return held
 
     @property
     def line(self) -> Line:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -8,6 +8,7 @@
 import time
 
 import anyio
+import pytest
 
 from standins import World, free_port
 from quartzrouter.net import front, serve
@@ -131,17 +132,22 @@
     world.play(scene, limits={"sockets": 64})
 
 
-def test_a_connection_that_is_closed_here_faults_nobody(world):
+@pytest.mark.parametrize("looked_at", [False, True])
+def test_a_connection_that_is_closed_here_faults_nobody(world, looked_at):
+    """One that was looked at before is still there to be asked, and raised ValueError: the router ended."""
+
     async def scene(connect):
-        kept, _ = await connect(), await connect()
+        kept, silent = await connect(), await connect()
         await kept.begin(1)
         await kept.end()
         closed, *_ = [seat for seat in world.service.front.open if not seat.used]
+        assert not looked_at or closed.line is front.Line.QUIET
         closed.stream._transport.abort()  # as the loop does on an error of its own
         await anyio.sleep(0)
-        assert closed.line is front.Line.ENDED and closed.retire()
+        assert closed.line is front.Line.ENDED and not closed.waited and closed.retire()
         await anyio.sleep(2 * front.SWEEP_EVERY)
         await kept.begin(2)
         assert "200 OK" in await kept.end()
+        await silent.stream.aclose()
 
     world.play(scene)
