A test's held reqs live long enough for the line that names them; both bounds are back

Seen: tests/test_turns.py, a hold of 0: the line 'ticks in a row ... due again: tag' was missing twice.

Two guards watch. Where Turns sees the CPU first (107 to 122 ms for 27 to 34 events) it brakes each turn by up to 8 ms, so the 64 ticks in a row that Ticks wants take over a second, and the held reqs of the test ended after one.

Change: those reqs have 4 s.

--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -62,7 +62,7 @@
 {}
 sys.exit(serve.main(os.environ))
 """
-SLACK = 0.9  # s: late by 0.15 to 0.65 here with all cores busy; by 1.05 to 2.33 before the mend
+SLACK = 0.5  # s after its time by which a req must have had its final answer
 
 
 class Process:
@@ -120,17 +120,16 @@
         (READABLE, "more"),
         (READER, "nobody"),
         (SOON, "more"),
-        (
-            NOW,
-            "ticks in a row with nothing done; due again: tag|CancelScope._timeout",
-        ),  # whichever is seen first
+        (NOW, "ticks in a row with nothing done; due again: tag"),
     ],
 )
 def test_what_spins_is_named_and_braked_and_reqs_get_their_answers(tmp_path, fault, named):
     async def scene(router):
         async with anyio.create_task_group() as askers:
             for id in range(1, 25):
-                askers.start_soon(router.ask, id, 1.0, "sale" if id % 4 == 0 else "page")
+                # held at once anew: for so long that 64 ticks in a row fit in, braked or not
+                held = id % 4 == 0 and fault is NOW
+                askers.start_soon(router.ask, id, 4.0 if held else 1.0, "sale" if id % 4 == 0 else "page")
                 await anyio.sleep(0.05)
         await anyio.sleep(0.6)
 
