--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -12,7 +12,7 @@
 from quartzrouter.force.limits import Denied, Limits
 from quartzrouter.force.pools import Pools
 from quartzrouter.force.ruling import Ruling, keys, marked, rule, vhost_name
-from quartzrouter.force.shared import budgets, hold
+from quartzrouter.force.shared import budgets, holds
 from quartzrouter.interface import (
     Answer,
     ColdStart,
@@ -81,7 +81,7 @@
         shares: Shares | None = None,
     ):  # fmt: skip
         self.arguments, self.fleet, self.shares = dict(arguments), fleet, shares
-        self.plan, self.matcher = plan, Matcher(plan.routes)
+        self.plan, self.matcher, self.holds = plan, Matcher(plan.routes), holds(plan)
         self.limits = Limits(plan.limits, shares, arguments["home"])
         self.pools = Pools(plan.pools, plan.splits)
         self.purges = Purges(arguments["purge_life"])  # for routers that come later
@@ -99,7 +99,7 @@
 
     def replace(self, plan: Plan, now: int) -> None:
         """The new plan, from this moment on."""
-        self.plan, self.matcher = plan, Matcher(plan.routes)
+        self.plan, self.matcher, self.holds = plan, Matcher(plan.routes), holds(plan)
         self.limits.replace(plan.limits)
         if self.shares:
             self.shares.replace(budgets(plan, (self.arguments["home"],)))
@@ -189,9 +189,10 @@
 
         :param told: us, by the client; 0: it told none.
         """
-        limits = [self.plan.limits[name] for name in ruling.route.limits]
-        shared = [each for each in limits if each.concurrent and each.across != "router"]
-        return min([told or ruling.vhost.client_timeout, *(hold(self.plan, each) for each in shared)])
+        timeout = told or ruling.vhost.client_timeout
+        for name in ruling.route.limits if self.holds else ():
+            timeout = min(timeout, self.holds.get(name, timeout))
+        return timeout
 
     def release(self, req_id: int) -> None:
         """The req has had its final answer."""
--- a/quartzrouter/force/shared.py
+++ b/quartzrouter/force/shared.py
@@ -22,11 +22,19 @@
 
 def budget_of(limit: Limit, home: str) -> str:
     """The name of the budget in which a router of that store counts; nothing: it counts by itself."""
-    return {"fleet": limit.name, "store": f"{limit.name}{AT}{home}"}.get(limit.across, "")
+    if limit.across == "router":
+        return ""
+    return limit.name if limit.across == "fleet" else f"{limit.name}{AT}{home}"
 
 
-def hold(plan: Plan, limit: Limit) -> int:
-    """us for which a req may be in hand in it: the longest client timeout of its routes."""
+def holds(plan: Plan) -> dict[str, int]:
+    """By limit on reqs in hand that is shared: us for which a req may be in hand in it."""
+    shared = (each for each in plan.limits.values() if each.concurrent and each.across != "router")
+    return {each.name: _hold(plan, each) for each in shared}
+
+
+def _hold(plan: Plan, limit: Limit) -> int:
+    """The longest client timeout of its routes."""
     return max(
         (plan.vhosts[each.vhost].client_timeout for each in plan.routes if limit.name in each.limits),
         default=0,
@@ -39,7 +47,7 @@
         limit.rate,
         float(limit.burst),
         limit.concurrent,
-        hold(plan, limit) if limit.concurrent else 0,
+        _hold(plan, limit) if limit.concurrent else 0,
         limit.floors,
         routers,
         limit.life,
--- a/quartzrouter/ledger/serve.py
+++ b/quartzrouter/ledger/serve.py
@@ -62,7 +62,7 @@
 class Ledger:
     """:param grace: us within which a purge must hold at every router.
     :param clock: us.
-    :param budgets: of which it grants shares to routers.
+    :param budgets: of which it grants shares to routers; None: it has no plan, and grants none.
     :param steady: reads the monotonic clock, us.
     """
 
@@ -85,7 +85,7 @@
         self.waiting: dict[int, list[Waiter]] = {}
         self.wanted = anyio.Event()
         self.steady = steady
-        self.granter = Granter(budgets, steady()) if budgets else None
+        self.granter = Granter(budgets, steady()) if budgets is not None else None
         self.council = Council()
         self.strangers = 0  # asks in a name that is not the member's
         self.connections = 0
--- a/quartzrouter/sharing/council.py
+++ b/quartzrouter/sharing/council.py
@@ -157,12 +157,13 @@
         """The caches of a store that are to be left out."""
         voices = self._fresh(store, now)
         caches = {cache for voice in voices.values() for cache in voice.sights}
-        found, tried = [], self._tried(voices, caches)
+        witnesses = {name: voice for name, voice in sorted(voices.items()) if not _cut_off(voice)}
+        found, tried = [], self._tried(witnesses, caches)
+        all_good, all_bad = (sum(each) for each in zip((0.0, 0.0), *tried.values(), strict=True))
         for cache in caches:
-            by, against, out = self._votes(voices, cache)
+            by, against, out = self._votes(witnesses, cache)
             good, bad = tried[cache]
-            peers = [tried[each] for each in caches if each != cache]
-            theirs = sum(b for _, b in peers) / max(1.0, sum(g + b for g, b in peers))
+            theirs = (all_bad - bad) / max(1.0, all_good + all_bad - good - bad)
             outlier = bad >= ERRORS and bad > max(SHARE, 2 * theirs) * (good + bad)
             case, failures = self.cases.get((store, cache)), round(bad)
             judgement = Judgement(cache, 0, tuple(by), tuple(against), failures)
@@ -176,22 +177,21 @@
 
     @staticmethod
     def _tried(voices: dict[str, Voice], caches: set[str]) -> dict[str, tuple[float, float]]:
-        """By cache: answers that came well, and failures, at all routers that are not cut off themselves."""
+        """By cache: answers that came well, and failures, at all these routers."""
         found = dict.fromkeys(caches, (0.0, 0.0))
         for voice in voices.values():
-            if not _cut_off(voice):
-                for cache, tally in voice.tallies.items():
-                    good, bad = found[cache]
-                    found[cache] = good + tally.good, bad + tally.bad
+            for cache, tally in voice.tallies.items():
+                good, bad = found[cache]
+                found[cache] = good + tally.good, bad + tally.bad
         return found
 
     @staticmethod
     def _votes(voices: dict[str, Voice], cache: str) -> tuple[list[str], list[str], int]:
         """Who is hurt by a cache, who is served well, and how many have put it out."""
         by, against, out = [], [], 0
-        for name, voice in sorted(voices.items()):
+        for name, voice in voices.items():
             tally = voice.tallies.get(cache)
-            if tally is None or _cut_off(voice):
+            if tally is None:
                 continue
             if tally.out or tally.bad >= LEAST:
                 by.append(name)
@@ -241,3 +241,12 @@
 def _well(sight: Sight) -> bool:
     figures = (sight.good, sight.bad, sight.in_hand, sight.begun)
     return bool(sight.cache) and len(sight.cache) <= 64 and all(0 <= each <= FIGURE_MOST for each in figures)
+
+
+def heeded(judgements: tuple[Judgement, ...], caches: int, now: int) -> dict[str, int]:
+    """What a router makes of what it is told: which caches it leaves out, and until when (us, its own clock).
+
+    :param caches: that it knows; whatever is said, few of them are left out, and none for long.
+    """
+    told = judgements[: int(LEFT_OUT * caches)]
+    return {each.cache: now + min(each.ends, HOLDS_MOST) for each in told if each.ends > 0}
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -22,7 +22,7 @@
 from quartzrouter.purges import words
 from quartzrouter.purges.words import Asks, Caught, Grants, Judged, Sights
 from quartzrouter.sharing.budget import Refusal
-from quartzrouter.sharing.council import HOLDS_MOST, LEFT_OUT, SIGHTS_MOST
+from quartzrouter.sharing.council import SIGHTS_MOST, heeded
 
 
 log = logging.getLogger("quartzrouter.control")  # what changes the decisions is told where they are
@@ -115,8 +115,7 @@
 
     def _judged(self, judgements: tuple[words.Judgement, ...], now: int) -> None:
         """Leaves caches out for as long as others say, as few as may be; each ends by itself."""
-        most = int(LEFT_OUT * len(self.force.sights(now)))
-        until = {each.cache: now + min(each.ends, HOLDS_MOST) for each in judgements[:most] if each.ends > 0}
+        until = heeded(judgements, len(self.force.sights(now)), now)
         for cache in until.keys() - self.hearsay.keys():
             by = next(each.by for each in judgements if each.cache == cache)
             log.info("%s is left out by the word of %s", cache, ", ".join(by[:NAMED]))
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -156,6 +156,12 @@
     assert not council.hear("r", "t", "north", (Sight("n", True),) * (module.SIGHTS_MOST + 1), S)
 
 
+def test_a_router_heeds_few_judgements_and_none_for_long():
+    told = tuple(module.Judgement(f"n{n}", 100 * S * (n < 3), (), (), 0) for n in range(6))
+    assert module.heeded(told, 9, 5) == {f"n{n}": 5 + module.HOLDS_MOST for n in range(3)}
+    assert module.heeded(told[3:], 9, 5) == {} and module.heeded(told, 2, 5) == {}
+
+
 # -- at a router, and between processes ----------------------------------------------------------------------
 
 
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -8,14 +8,18 @@
 from click.testing import CliRunner
 
 from quartzrouter.cli.main import cli
+from quartzrouter.briefing import Post
+from quartzrouter.force.force import Force
 from quartzrouter.force.limits import Key, Limits
 from quartzrouter.force.shared import budgets
 from quartzrouter.ledger.serve import Ledger
 from quartzrouter.ledger.wire import connect, lines
 from quartzrouter.net.report import Report
 from quartzrouter.net.serve import clock
+from quartzrouter.plan.compile import compiled
 from quartzrouter.plan.load import load
 from quartzrouter.plan.model import Limit
+from quartzrouter.plan.sets import Asked
 from quartzrouter.purges import words
 from quartzrouter.purges.words import AskBudgets, Asks, Grants, Hello, Welcome, line
 from quartzrouter.sharing import shares as module
@@ -174,7 +178,9 @@
     """A scene with a ledger that grants, if there are budgets, and a member's line to it."""
 
     async def main():
-        ledger = Ledger(FaultyDisk(), 300_000, Report("ledger", clock), budgets=list(of))
+        ledger = Ledger(
+            FaultyDisk(), 300_000, Report("ledger", clock), budgets=None if of is None else list(of)
+        )
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         with anyio.fail_after(20):
@@ -240,9 +246,29 @@
         await tell(Asks((GOOD,)))
         assert (await until(words.Beat)).epoch == 1
 
+    talk(scene, of=None)
+
+
+def test_a_plan_that_shares_its_first_limit_later_is_granted_from_then_on():
+    """A ledger that began with a plan without shared limits granted none until its next start."""
+
+    async def scene(ledger, tell, until, port):
+        await tell(Hello("r", "router", "t"))
+        assert (await until(Welcome)).grants
+        ledger.replace([CALLS])
+        await tell(Asks((GOOD,)))
+        assert (await until(Grants)).grants[0].number == 1
+
     talk(scene, of=())
 
 
+def test_a_client_waits_no_longer_than_a_shared_slot_is_reckoned_in_use():
+    plan = load("main", lambda path: PLAN % PURGES).plan
+    force = Force(plan, Post(compiled(plan), {}, journal_needed=False).briefing.arguments)
+    ruling = force.rule(Asked("north", "", "/a", "GET", {}, {}), "c")
+    assert [force.timeout(ruling, told) for told in (0, 5 * S, 60 * S)] == [3 * S, 5 * S, 9 * S]
+
+
 def test_a_welcome_of_an_older_ledger_grants_nothing():
     said = words.from_ledger(b'{"say":"welcome","epoch":1,"head":0,"now":5,"lease":9}')
     assert not said.grants
