--- a/quartzrouter/cli/fleet.py
+++ b/quartzrouter/cli/fleet.py
@@ -61,18 +61,12 @@
 @AS_JSON
 def judgements(ledgers, as_json: bool) -> None:
     """List the caches that routers leave out by each other's word: who says so, who not, until when."""
-    views = _views(ledgers)
-    if as_json:
-        told = [{"store": view.store} | each._asdict() for view in views for each in view.judgements]
-        click.echo(json.dumps(told))
-        return
-    for view in views:
-        for each in view.judgements:
-            against = f", against {' '.join(each.against)}" if each.against else ""
-            said = f"{each.cache} is out for {each.ends / 1e6:.1f} s by {' '.join(each.by)}{against}"
-            click.echo(f"{view.store}: {said}")
-    if not any(view.judgements for view in views):
-        click.echo("no cache is left out by others' word")
+
+    def shown(each) -> str:
+        against = f", against {' '.join(each.against)}" if each.against else ""
+        return f"{each.cache} is out for {each.ends / 1e6:.1f} s by {' '.join(each.by)}{against}"
+
+    _list(ledgers, as_json, "judgements", shown, "no cache is left out by others' word")
 
 
 @fleet.command(epilog="Example: quartzrouter fleet counts --json")
@@ -80,20 +74,22 @@
 @AS_JSON
 def counts(ledgers, as_json: bool) -> None:
     """List how many dispatches are out at each cache, by all routers of its store, with age and error."""
-    views = _views(ledgers)
+
+    def shown(each) -> str:
+        in_hand = "unknown" if each.in_hand < 0 else f"{each.in_hand} out"
+        age = f"{each.age / 1000:.0f} ms old, from {each.routers} routers"
+        return f"{each.cache:16} {in_hand:>12}, {each.error} more or less, {age}"
+
+    none = "no router tells of caches in use: give their plan `hearsay: true` in `deployment`"
+    _list(ledgers, as_json, "counts", shown, none)
+
+
+def _list(ledgers, as_json: bool, what: str, shown, none: str) -> None:
+    found = [(view.store, each) for view in _views(ledgers) for each in getattr(view, what)]
     if as_json:
-        told = [{"store": view.store} | each._asdict() for view in views for each in view.counts]
-        click.echo(json.dumps(told))
+        click.echo(json.dumps([{"store": store} | each._asdict() for store, each in found]))
         return
-    for view in views:
-        for each in view.counts:
-            in_hand = "unknown" if each.in_hand < 0 else f"{each.in_hand} out"
-            click.echo(
-                f"{view.store}: {each.cache:16} {in_hand:>12}, {each.error} more or less, "
-                f"{each.age / 1000:.0f} ms old, from {each.routers} routers"
-            )
-    if not any(view.counts for view in views):
-        click.echo("no router tells of caches: give their plan `hearsay: true` in `deployment`")
+    click.echo("\n".join(f"{store}: {shown(each)}" for store, each in found) or none)
 
 
 def _views(ledgers):
--- a/quartzrouter/ledger/serve.py
+++ b/quartzrouter/ledger/serve.py
@@ -309,7 +309,7 @@
             self.council.left(session.member.name)
         elif isinstance(said, Sights):
             member, session.store = session.member, said.store
-            self.council.hear(member.name, member.token, said.store, said.sights, self.steady())
+            self.council.hear(member.name, member.token, said.store, said.sights, self.steady(), said.caches)
         elif isinstance(said, Asks) and self.granter:
             self._grant(session, said)
 
--- a/quartzrouter/purges/words.py
+++ b/quartzrouter/purges/words.py
@@ -112,10 +112,14 @@
 
 
 class Sights(msgspec.Struct, tag_field="say", tag="sights"):
-    """What a router has seen of its store's caches; said to a ledger whose welcome says that it judges."""
+    """What a router has seen of its store's caches; said to a ledger whose welcome says that it judges.
+
+    :param caches: how many it knows; those not told of have nothing out, and no news.
+    """
 
     store: str
     sights: tuple[Sight, ...]
+    caches: int
 
 
 class AskViews(msgspec.Struct, tag_field="say", tag="views"):
--- a/quartzrouter/sharing/council.py
+++ b/quartzrouter/sharing/council.py
@@ -20,8 +20,9 @@
 FAILS = 0.5  # share of failures above which a cache fails a router
 SHARE = 0.25  # of all routers' answers by a cache, and twice what its peers show, that must be failures ...
 ERRORS = 3  # ... and so many: fewer are chance
+FADED = 0.05  # answers and failures: less is forgotten
 LEAST = 0.3  # failures of one router, as far as they haven't faded: one in the last second
-CUT_OFF = 0.5  # share of its caches that fail, above which a router's word on them counts for nothing
+CUT_OFF = 0.5  # share of the caches tried lately that fail, above which a router is no witness
 LEFT_OUT = 1 / 3  # share of a store's caches that are ever left out by hearsay
 SIGHTS_MOST = 1_024  # caches in one word
 ROUTERS_MOST = 4_096  # heard of: those unheard for longest go first
@@ -29,7 +30,7 @@
 
 
 class Sight(NamedTuple):
-    """What one router knows of one cache, from its own reqs and probes.
+    """What one router knows of one cache, from its own reqs and probes; a cache without news isn't told of.
 
     :param out: it has put the cache out.
     :param good: answers that came well since the last word.
@@ -86,6 +87,10 @@
     good: float = 0.0
     bad: float = 0.0
 
+    @property
+    def hurt(self) -> bool:
+        return self.out or self.bad >= LEAST
+
     @property
     def fails(self) -> bool:
         """For this router alone."""
@@ -101,7 +106,8 @@
     heard: int
     sights: dict[str, Sight] = field(default_factory=dict)
     every: int = TELL_EVERY  # us between its last two words
-    tallies: dict[str, Tally] = field(default_factory=dict)
+    tallies: dict[str, Tally] = field(default_factory=dict)  # of what hasn't faded
+    caches: int = 0  # that it knows
 
 
 @dataclass(slots=True)
@@ -121,26 +127,33 @@
         self.cases: dict[tuple[str, str], Case] = {}  # by store and cache
         self.odd = 0  # words that were not obeyed
 
-    def hear(self, name: str, token: str, store: str, sights: tuple[Sight, ...], now: int) -> bool:
+    def hear(
+        self, name: str, token: str, store: str, sights: tuple[Sight, ...], now: int, caches: int
+    ) -> bool:
         """Takes a router's word in; one with odd figures is counted and passed over, as a whole.
 
         Another token under the name is another process: what the first one told ends at once.
+
+        :param caches: that it knows; what it doesn't tell of has nothing out, and no news.
         """
-        if len(sights) > SIGHTS_MOST or any(not _well(each) for each in sights):
+        odd = len(sights) > SIGHTS_MOST or not 0 <= caches <= FIGURE_MOST
+        if odd or any(not _well(each) for each in sights):
             self.odd += 1
             return False
         before = self.voices.pop(name, None)
         same = before if before and before.token == token else Voice(store, token, now - TELL_EVERY)
         passed = max(1, now - same.heard)
         fades, tallies = 0.5 ** (passed / FADES), {}
+        for cache, old in same.tallies.items():
+            if (old.good + old.bad) * fades > FADED:
+                tallies[cache] = Tally(False, old.good * fades, old.bad * fades)
         for sight in sights:
-            old = same.tallies.get(sight.cache, Tally())
-            good, bad = old.good * fades + sight.good, old.bad * fades + sight.bad
-            tallies[sight.cache] = Tally(sight.out, good, bad)
+            old = tallies.get(sight.cache, Tally())
+            tallies[sight.cache] = Tally(sight.out, old.good + sight.good, old.bad + sight.bad)
         if len(self.voices) >= ROUTERS_MOST:
             del self.voices[next(iter(self.voices))]
         seen = {each.cache: each for each in sights}
-        self.voices[name] = Voice(store, token, now, seen, min(SIGHT_LIFE, passed), tallies)
+        self.voices[name] = Voice(store, token, now, seen, min(SIGHT_LIFE, passed), tallies, caches)
         return True
 
     def left(self, name: str) -> None:
@@ -156,13 +169,17 @@
     def judged(self, store: str, now: int) -> tuple[Judgement, ...]:
         """The caches of a store that are to be left out."""
         voices = self._fresh(store, now)
-        caches = {cache for voice in voices.values() for cache in voice.sights}
         witnesses = {name: voice for name, voice in sorted(voices.items()) if not _cut_off(voice)}
-        found, tried = [], self._tried(witnesses, caches)
-        all_good, all_bad = (sum(each) for each in zip((0.0, 0.0), *tried.values(), strict=True))
-        for cache in caches:
+        doubted = {
+            cache for voice in witnesses.values() for cache, each in voice.tallies.items() if each.hurt
+        }
+        doubted |= {cache for (at, cache), case in self.cases.items() if at == store and case.until > now}
+        found, tallies = [], [each for voice in witnesses.values() for each in voice.tallies.values()]
+        all_good, all_bad = sum(each.good for each in tallies), sum(each.bad for each in tallies)
+        for cache in doubted:
             by, against, out = self._votes(witnesses, cache)
-            good, bad = tried[cache]
+            of = [voice.tallies[cache] for voice in witnesses.values() if cache in voice.tallies]
+            good, bad = sum(each.good for each in of), sum(each.bad for each in of)
             theirs = (all_bad - bad) / max(1.0, all_good + all_bad - good - bad)
             outlier = bad >= ERRORS and bad > max(SHARE, 2 * theirs) * (good + bad)
             case, failures = self.cases.get((store, cache)), round(bad)
@@ -171,19 +188,10 @@
                 found.append((len(by) - len(against), judgement))
             elif case and case.until > now:
                 found.append((0, judgement._replace(failures=case.failures)))
+        caches = max((voice.caches for voice in voices.values()), default=0)
         found.sort(key=lambda one: (-one[0], one[1].cache))
         self._forget(now)
-        return tuple(self._held(store, *one, now) for one in found[: int(LEFT_OUT * len(caches))])
-
-    @staticmethod
-    def _tried(voices: dict[str, Voice], caches: set[str]) -> dict[str, tuple[float, float]]:
-        """By cache: answers that came well, and failures, at all these routers."""
-        found = dict.fromkeys(caches, (0.0, 0.0))
-        for voice in voices.values():
-            for cache, tally in voice.tallies.items():
-                good, bad = found[cache]
-                found[cache] = good + tally.good, bad + tally.bad
-        return found
+        return tuple(self._held(store, *one, now) for one in found[: int(LEFT_OUT * caches)])
 
     @staticmethod
     def _votes(voices: dict[str, Voice], cache: str) -> tuple[list[str], list[str], int]:
@@ -193,7 +201,7 @@
             tally = voice.tallies.get(cache)
             if tally is None:
                 continue
-            if tally.out or tally.bad >= LEAST:
+            if tally.hurt:
                 by.append(name)
                 out += tally.out
             elif tally.good >= LEAST:
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -106,12 +106,13 @@
             return []
         before, self.seen = self.seen, self.force.sights(now)
         said = []
-        for name, new in list(self.seen.items())[:SIGHTS_MOST]:
+        for name, new in self.seen.items():
             old = before.get(name) or replace(new, done=0, failed=0, in_hand=0)
             good, bad = max(0, new.done - old.done), max(0, new.failed - old.failed)
             begun = max(0, good + bad + new.in_hand - old.in_hand)
-            said.append(words.Sight(name, new.out, good, bad, new.in_hand, begun))
-        return [Tell(Sights(self.force.arguments["home"], tuple(said)))]
+            if new.out or good or bad or new.in_hand:
+                said.append(words.Sight(name, new.out, good, bad, new.in_hand, begun))
+        return [Tell(Sights(self.force.arguments["home"], tuple(said[:SIGHTS_MOST]), len(self.seen)))]
 
     def _judged(self, judgements: tuple[words.Judgement, ...], now: int) -> None:
         """Leaves caches out for as long as others say, as few as may be; each ends by itself."""
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -35,7 +35,9 @@
                     else Sight(cache, False, 3, 0, 2, 3)
                     for cache in CACHES
                 ]
-                assert self.council.hear(f"r{n}", self.tokens[n], "north", tuple(sights), self.now)
+                assert self.council.hear(
+                    f"r{n}", self.tokens[n], "north", tuple(sights), self.now, len(CACHES)
+                )
         return [each.cache for each in self.council.judged("north", self.now)]
 
     def fail(self, cache, routers):
@@ -92,7 +94,7 @@
         store.now += TELL_EVERY
         for n in range(6):
             sights = tuple(Sight(cache, False, 1, 1 + (cache == "n0") * (now % 2)) for cache in CACHES)
-            store.council.hear(f"r{n}", "t", "north", sights, store.now)
+            store.council.hear(f"r{n}", "t", "north", sights, store.now, len(CACHES))
     assert store.council.judged("north", store.now) == ()
 
 
@@ -152,8 +154,20 @@
 )  # fmt: skip
 def test_words_that_a_council_does_not_obey(sight):
     council = Council()
-    assert not council.hear("r", "t", "north", (sight,), S) and council.odd == 1 and not council.voices
-    assert not council.hear("r", "t", "north", (Sight("n", True),) * (module.SIGHTS_MOST + 1), S)
+    assert not council.hear("r", "t", "north", (sight,), S, 9) and council.odd == 1 and not council.voices
+    assert not council.hear("r", "t", "north", (Sight("n", True),) * (module.SIGHTS_MOST + 1), S, 9)
+    assert not council.hear("r", "t", "north", (), S, -1)
+
+
+def test_what_is_not_told_of_has_nothing_out_and_fades():
+    council, now = Council(), 100 * S
+    council.hear("r", "t", "north", (Sight("n1", True, 0, 4, 2, 2), Sight("n2", False, 4, 0, 1, 4)), now, 9)
+    assert set(council.voices["r"].tallies) == {"n1", "n2"} and len(council.counts("north", now)) == 2
+    council.hear("r", "t", "north", (), now + TELL_EVERY, 9)
+    tally = council.voices["r"].tallies["n1"]
+    assert not tally.out and 2 < tally.bad < 4 and council.counts("north", now + TELL_EVERY) == ()
+    council.hear("r", "t", "north", (), now + 10 * S, 9)
+    assert not council.voices["r"].tallies
 
 
 def test_a_router_heeds_few_judgements_and_none_for_long():
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -24,6 +24,7 @@
 from quartzrouter.purges.words import AskBudgets, Asks, Grants, Hello, Welcome, line
 from quartzrouter.sharing import shares as module
 from quartzrouter.sharing.budget import Ask, Budget, Grant
+from quartzrouter.sharing.council import Sight
 from quartzrouter.sharing.granter import POTS_MOST, Granter
 from quartzrouter.sharing.shares import Shares
 from quartzrouter.standin.disk import FaultyDisk
@@ -291,6 +292,13 @@
         assert told[0]["holders"][0]["name"] == "r" and told[0]["rate"] == 50
         assert "1 budgets, 0 asks not obeyed" in await anyio.to_thread.run_sync(called, "status")
         told = json.loads(await anyio.to_thread.run_sync(called, "status", "--json"))
+        assert "no cache is left out" in await anyio.to_thread.run_sync(called, "judgements")
+        seen = tuple(Sight(f"n{n}", n == 0, 3, 0, 2, 3) for n in range(3))
+        await tell(words.Sights("north", seen, 3))
+        await tell(Asks(()))
+        await until(Grants)  # so it has read what came before
+        assert "north: n0" in await anyio.to_thread.run_sync(called, "counts")
+        assert json.loads(await anyio.to_thread.run_sync(called, "counts", "--json"))[1]["in_hand"] == 2
         assert told["budgets"] == 1 and told["silent"] == ["r"]  # it never acknowledged anything
 
     talk(scene)
