--- a/tests/test_stand.py
+++ b/tests/test_stand.py
@@ -2,8 +2,9 @@
 
 import contextlib
 import random
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
-from types import SimpleNamespace
+from multiprocessing import get_context
 
 import anyio
 import pytest
@@ -206,23 +207,48 @@
 # -- fleets --------------------------------------------------------------------------------------------------
 
 
-def test_six_routers_and_two_ledgers_share_limits_through_faults_of_all_kinds():
+SHARED = Shape(routers=6, rate=60, slots=12, demand=80.0, askers=6, seconds=12.0, quiet=4_000)
+TAKEN_OUT = ("a share doesn't end", "a share counts from its answer")  # all: `quartzrouter rehearse guards`
+
+
+def drawn():
     tally = Tally()
-    shape = Shape(routers=6, rate=60, slots=12, demand=80.0, askers=6, seconds=12.0, quiet=4_000)
-    rehearse(3, tally, shape=shape)
-    assert not tally.broken, (tally.broken, tally.figures)
+    rehearse(3, tally, shape=SHARED)
+    return tally.broken, tally.figures
 
 
-def test_a_clock_set_ahead_and_back_loses_no_req():
+def jumped():
     seen = play(random.Random(1), replace(FEW, seconds=4.5), [Fault(500, "jump", "r0", 300, 10.0)])
-    assert len(list(seen.fleet.history.of("send"))) > 100
-    assert not seen.broken and not seen.lost and not seen.faults
+    return seen.broken, seen.lost, seen.faults, len(list(seen.fleet.history.of("send")))
 
 
-@pytest.mark.parametrize("guard", ["a share doesn't end", "a share counts from its answer"])
-def test_checkers_see_a_guard_taken_out(guard):
-    """All thirteen are played by `quartzrouter rehearse guards`."""
+def without(guard):
     shape, faults = SCENES[guard]
     seen = play(random.Random(1), shape, faults, (guard,))
-    print(SimpleNamespace(**{key: getattr(seen, key) for key in ("over_rate", "over_slots", "most")}))
-    assert seen.broken
+    return seen.broken, seen.over_rate, seen.over_slots
+
+
+@pytest.fixture(scope="module")
+def plays():
+    """All fleets at a time, each in a process of its own: one by one they take 40 s, most of it waiting."""
+    with ProcessPoolExecutor(4, get_context("spawn")) as pool:
+        yield {
+            "drawn": pool.submit(drawn), "jumped": pool.submit(jumped),
+            **{guard: pool.submit(without, guard) for guard in TAKEN_OUT},
+        }  # fmt: skip
+
+
+def test_six_routers_and_two_ledgers_share_limits_through_faults_of_all_kinds(plays):
+    broken, figures = plays["drawn"].result()
+    assert not broken, (broken, figures)
+
+
+def test_a_clock_set_ahead_and_back_loses_no_req(plays):
+    broken, lost, faults, sent = plays["jumped"].result()
+    assert not broken and not lost and not faults and sent > 100
+
+
+@pytest.mark.parametrize("guard", TAKEN_OUT)
+def test_checkers_see_a_guard_taken_out(plays, guard):
+    broken, *by = plays[guard].result()
+    assert broken, by
