--- a/quartzrouter/cli/explore.py
+++ b/quartzrouter/cli/explore.py
@@ -6,16 +6,17 @@
 
 
 @click.command(epilog="Example: quartzrouter explore purges --states 200000")
-@click.argument("name", type=click.Choice(["purges", "sharing"]))
+@click.argument("name", type=click.Choice(["purges", "sharing", "leases"]))
 @click.option("--states", default=70_000, show_default=True, help="Of each case, at most.")
 @click.option("--seconds", default=60.0, show_default=True, help="For each case, at most.")
 def explore(name: str, states: int, seconds: float) -> None:
     """Explore a protocol over the real decisions; exit with 1 and the shortest trace if a property breaks."""
-    from quartzrouter.explore import purges, sharing
+    from quartzrouter.explore import leases, purges, sharing
     from quartzrouter.explore.search import explore as search
 
     model, played = {
         "purges": (purges.PurgeModel, purges.PLAYED), "sharing": (sharing.SharingModel, sharing.PLAYED),
+        "leases": (leases.LeaseModel, leases.PLAYED),
     }[name]  # fmt: skip
     broken = False
     for case, bounds in played.items():
--- a/quartzrouter/cli/ledger.py
+++ b/quartzrouter/cli/ledger.py
@@ -60,8 +60,8 @@
 
 
 def budgets_of(path: str):
-    """Reads a plan's budgets, each time it is called.  Raises Faulty."""
-    from quartzrouter.force.shared import budgets
+    """Reads a plan's budgets and the terms of cold servers, each time it is called.  Raises Faulty."""
+    from quartzrouter.force.shared import budgets, terms
     from quartzrouter.plan.load import load
 
     def read():
@@ -70,7 +70,7 @@
             faults = loaded.faults.errors
             more = f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
             raise Faulty(f"{faults[0].head}{more}; 'quartzrouter plan check {path}' shows all")
-        return budgets(loaded.plan, loaded.plan.stores)
+        return budgets(loaded.plan, loaded.plan.stores), terms(loaded.plan)
 
     return read
 
--- a/quartzrouter/cli/main.py
+++ b/quartzrouter/cli/main.py
@@ -7,6 +7,8 @@
 from quartzrouter import __version__
 from quartzrouter.cli.explore import explore
 from quartzrouter.cli.fleet import fleet
+from quartzrouter.cli.keeper import keeper
+from quartzrouter.cli.lease import lease
 from quartzrouter.cli.ledger import ledger
 from quartzrouter.cli.plan import plan
 from quartzrouter.cli.purge import purge
@@ -88,6 +90,8 @@
 cli.add_command(ledger)
 cli.add_command(purge)
 cli.add_command(fleet)
+cli.add_command(keeper)
+cli.add_command(lease)
 
 
 def main() -> None:
--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -14,8 +14,8 @@
 from typing import NamedTuple
 
 from quartzrouter.interface import (
-    Abort, Answer, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Report, Req,
-    Sight, State, Tier, Told, VHost, Wait,
+    Abort, Answer, Cold, ColdStart, Deny, Dispatch, Effect, Ending, Hold, Listed, Outcome, Permits, Report,
+    Req, Sight, State, Tier, Told, VHost, Wait,
 )  # fmt: skip
 
 log = logging.getLogger(__name__)
@@ -37,6 +37,9 @@
 ERROR_SHARE = 0.25  # of its recent answers, and twice what its peers show: an outlier
 MARKS_KEPT = 24  # answers; then both marks are halved, so that some seconds count
 OWN_FIRST = 500 * MS  # a server that served well here so lately, and failed in none of twice as long, stays
+LEFT_OUT = 1 / 3  # share of the servers listed that are left out by others' word: as those who judge hold
+RETURN_OVER = 1 * S  # in which routers try again what others had judged: the first ones find out for all
+LOADS_HOLD = 600 * MS  # what all routers have out at each cache, as told: three words of it
 OUT_FOR = 1 * S  # first ejection; doubled at each relapse
 OUT_MOST = 8 * S  # the longest one: shorter than most troubles, so that a return is soon seen
 TRUSTED_AFTER = 4  # good answers on trial
@@ -161,16 +164,28 @@
 
     def __init__(self, cold: ColdStart, share: float):
         self.cold, self.share = cold, share
+        self.own = 1.0  # of it, that is divided among the routers; the rest is granted as it is wanted
         self.sent: dict[int, deque[list[int]]] = {}  # per server: when, sending time
+        self.wanted: dict[int, list[int]] = {}  # likewise, sent or not, in all and at most, for who grants
 
-    def room(self, at: int, link: float, started: int, weight: int, now: int) -> bool:
+    def most(self, link: float, started: int, now: int) -> float:
+        """Sending time that all routers may spend on a server in a window; no bound where it is warm."""
         cold = self.cold
         age = now - started - cold.window  # what it could do when the window began
         if not started or age >= cold.ramp:
-            return True
+            return math.inf
         can = link * (cold.floor + (1 - cold.floor) * max(0, age) / cold.ramp)
-        budget = can * cold.multiple * cold.window * self.share / cold.routers
-        return sum(w for _, w in self.lately(at, now)) + weight <= budget
+        return can * cold.multiple * cold.window * self.share
+
+    def want(self, at: int, weight: int) -> None:
+        total, largest = self.wanted.get(at, (0, 0))
+        self.wanted[at] = [total + weight, max(largest, weight)]
+
+    def room(self, at: int, link: float, started: int, weight: int, now: int) -> bool:
+        most = self.most(link, started, now)
+        if most == math.inf:
+            return True
+        return sum(w for _, w in self.lately(at, now)) + weight <= most * self.own / self.cold.routers
 
     def spend(self, at: int, weight: int, now: int) -> list[int]:
         self.lately(at, now).append([now, weight])
@@ -211,7 +226,7 @@
         self.good = self.bad = self.strikes = 0
         self.out = self.full = 0  # until when it is out, or counts as busy after a refusal
         self.unreached: int | None = None  # when a connection last failed
-        self.told = 0  # until when others say it is bad
+        self.told = 0  # until when others say it is bad, and this router's turn to try it comes
         self.well = self.ill = -NEVER  # when it last served well, or failed
         self.done = self.failed = 0  # in all, for others to hear of
         self.probe_at, self.asked = NEVER, -PROBE_EVERY  # its next probe; when the last was due
@@ -339,6 +354,7 @@
 
     def __init__(self, most: int, rate: float, burst: float):
         self.most, self.rate, self.burst, self.tokens = most, rate, burst, burst
+        self.free, self.paid = True, 0  # whether limits that others hold leave one; how many there were
 
     @staticmethod
     def bound(flight: Flight) -> bool:  # it may have run, and may not simply run again
@@ -365,9 +381,10 @@
         return known or not self.bound(flight)
 
     def pay(self, flight: Flight) -> bool:
-        if flight.hops and self.tokens < 1:
+        if flight.hops and (self.tokens < 1 or not self.free):
             return False
         self.tokens = min(self.burst, self.tokens + (-1 if flight.hops else self.rate))
+        self.paid += flight.hops > 0
         return True
 
 
@@ -394,6 +411,8 @@
         self.link_in = (-REPORT_HOLDS, 0.0)  # the location's: when last told, and how full
         self.paces = {False: 0.0, True: 0.0}  # logarithms of sending times over the vhost's mean: hits, fills
         self.reports: dict[int, tuple[int, float]] = {}  # by server: when, and how busy it said it was
+        self.granted: dict[str, int] = {}  # sending time for cold servers, beyond this router's own part
+        self.others = (-LOADS_HOLD, {})  # when told, and reqs that other routers have out at each cache
         self.seen: dict[int, None] = {}  # hashes of parts asked for lately, oldest first
         self.subscribe_at = 0 if permits.subscribe else NEVER
 
@@ -405,7 +424,8 @@
         for at in [at for at in gone if not (self.load[at] or self.naming[at])]:  # nothing of it is out
             del kept.index[kept.be[at].name]
             for by_server in (kept.be, kept.started, self.load, self.naming, self.reports, self.health.of,
-                              fills.limit, fills.out, fills.cut, *(tier.sent for tier in warm)):  # fmt: skip
+                              fills.limit, fills.out, fills.cut, *(tier.sent for tier in warm),
+                              *(tier.wanted for tier in warm)):  # fmt: skip
                 by_server.pop(at, None)
         self.walk.orders.clear()
 
@@ -427,11 +447,39 @@
 
     def left_out(self, until: dict[str, int], now: int) -> None:
         """What other routers have found bad.  Covers a server that is lost for reqs that never went there;
-        could harm where it is well for this router only: what it saw itself lately goes first."""
+        could harm where it is well for this router only: what it saw itself lately goes first.  What ends by
+        itself isn't tried by all at once: each has its turn, so that few find out if it is still bad."""
+        waiting = []
         for at, be in self.roster.be.items():
             mark = self.health.of[at]
             well = mark.well > now - OWN_FIRST and mark.ill <= now - 2 * OWN_FIRST
-            mark.told = 0 if well else until.get(be.name, 0)
+            if be.name in until and not well:
+                turn = zlib.crc32(f"{be.name}/{self.me}/{self.seed}".encode()) % RETURN_OVER
+                mark.told = until[be.name] + turn
+            elif now < mark.told <= now + RETURN_OVER and not well:
+                waiting.append(mark)
+            else:
+                mark.told = 0
+        if len(until) + len(waiting) > LEFT_OUT * len(self.roster.be):  # few are left out by others' word
+            for mark in waiting:
+                mark.told = 0
+
+    def loads(self, others: dict[str, int], now: int) -> None:
+        """Reqs that other routers have out at each cache, as they tell; those not named have none.  Below 0:
+        not known.  Covers uneven demand, where own reqs times routers is far off; harms where it is old."""
+        index = self.roster.index
+        self.others = (now, {index[name]: n for name, n in others.items() if name in index})
+
+    def cold(self, now: int) -> list[Cold]:
+        """Cold servers: what all may spend on each, and what this router would since it was last asked."""
+        found = []
+        for tier, warm in self.warm.items():
+            for at in self.roster.peers[tier]:
+                most = warm.most(self._link(at), self.roster.started[at], now)
+                wanted = warm.wanted.pop(at, (0, 0))
+                if most < math.inf:
+                    found.append(Cold(self.roster.be[at].name, tier, int(most), *wanted))
+        return found
 
     def sights(self, now: int) -> list[Sight]:
         """What it has seen of each cache itself."""
@@ -508,6 +556,7 @@
         ok, late = (lambda at: self._source_ok(at, weight, now)), fills.troubled(now)
         crowd = self.link_in[1] / LINK_FULL if now - self.link_in[0] < REPORT_HOLDS else 0.0
         well = list(filter(ok, parents)) or list(filter(ok, origins))  # the origin only when no parent is up
+        self._want(Tier.PARENT, parents, weight, now)
         free = (at for at in well if at in origins or self.naming[at] < CROWDED_AT)
         free = (at for at in free if not kept or draw * crowd <= 1)  # so much comes in time
         source = next((at for at in free if not late or fills.room(at, draw)), None)
@@ -539,14 +588,14 @@
         able = [at for at in order if self.retries.may_reach(flight, self.roster.be[at])]
         fit = [at for at in able if self.health.usable(at, self.load[at], now)] or able
         fit = [at for at in fit if at not in flight.avoid] or fit
+        self._want(Tier.CACHE, fit, weight, now)
         return [at for at in fit if self._warm(at, weight, now)]
 
     def _dispatch(self, flight: Flight, be: int, source: int, weight: int, now: int) -> Dispatch:
         req, vhost, roster = flight.req, flight.vhost, self.roster
         if roster.be[be].tier is Tier.CACHE:
-            self.warm[Tier.CACHE].spend(be, weight, now)
-        parent = roster.be[source].tier is Tier.PARENT
-        cold = self.warm[Tier.PARENT].spend(source, weight, now) if parent else None
+            self._spend(be, weight, now)
+        cold = self._spend(source, weight, now) if roster.be[source].tier is Tier.PARENT else None
         if source == be and roster.be[be].tier is Tier.PARENT and roster.peers[Tier.ORIGIN]:
             source = roster.peers[Tier.ORIGIN][0]
         hop, flight.hops = flight.hops, flight.hops + 1
@@ -690,6 +739,8 @@
         """Reqs outstanding from all routers: by the cache's word, or else the others do as this one."""
         said, busy = self.reports.get(at, (-REPORT_HOLDS, 1.0))
         everyones = self.load[at] * self.warm[Tier.CACHE].cold.routers
+        if now - self.others[0] < LOADS_HOLD and (others := self.others[1].get(at, 0)) >= 0:
+            everyones = self.load[at] + others
         if now - said >= REPORT_HOLDS:
             return everyones
         return busy * self._link(at) + self.load[at] if busy < FULL_AT else max(everyones, self._link(at))
@@ -704,7 +755,23 @@
 
     def _warm(self, at: int, weight: int, now: int) -> bool:
         warm = self.warm.get(self.roster.be[at].tier)
-        return warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, now)
+        if warm is None or warm.room(at, self._link(at), self.roster.started[at], weight, now):
+            return True
+        return self.granted.get(self.roster.be[at].name, 0) >= weight
+
+    def _want(self, tier: Tier, order: list[int], weight: int, now: int) -> None:
+        """Notes that the first of an order is cold to its limit: others may leave this router more."""
+        if self.warm[tier].own < 1 and order and not self._warm(order[0], weight, now):
+            self.warm[tier].want(order[0], weight)
+
+    def _spend(self, at: int, weight: int, now: int) -> list[int]:
+        be, warm = self.roster.be[at], self.warm[self.roster.be[at].tier]
+        if warm.own < 1:
+            warm.want(at, weight)
+            if not warm.room(at, self._link(at), self.roster.started[at], weight, now):
+                self.granted[be.name] = self.granted.get(be.name, 0) - weight  # own part first: nobody else's
+                return [now, weight]
+        return warm.spend(at, weight, now)
 
     def _source_ok(self, at: int, weight: int, now: int) -> bool:
         well = self.health.usable(at, self.naming[at], now) and self.health.of[at].full <= now
--- /dev/null
+++ b/quartzrouter/explore/leases.py
@@ -0,0 +1,286 @@
+"""Leases as a model: real keepers and claims; words, keepers' memories, wakes and clocks misbehave.
+
+Keepers' clocks run fast and claimants' slow, by an eighth each, which the terms allow.  An ask reaches all
+keepers at once and is answered at once, but for one or two of them, where it may be late, lost or doubled.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import combinations
+
+from quartzrouter.leases.claim import Ask, Claim, Effect, Gained
+from quartzrouter.leases.keeper import Keeper
+from quartzrouter.leases.terms import Answer, Free, Refusal, Terms, Vote
+
+LENGTH, DRIFT = 8_000, 125_000
+START = 100 * LENGTH  # by then keepers that were there from the start vote
+WAYS = ("late there", "late back", "doubled")  # one that is late for good is lost
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How often each thing may happen.
+
+    :param step: us of one step of time.
+    :param keepers: how many there are.
+    :param ways: what may go wrong with words.
+    :param same: both claimants go by one name.
+    """
+
+    steps: int = 5
+    asks: int = 3
+    faults: int = 1  # asks of which one word is lost, late or doubled
+    falls: int = 0  # keepers that restart with their numbers
+    losses: int = 0  # keepers that restart without
+    stops: int = 0  # of a claimant between its look at the clock and its act
+    releases: int = 0
+    acts: int = 0
+    step: int = LENGTH // 4
+    keepers: int = 3
+    ways: tuple[str, ...] = WAYS
+    same: bool = False
+
+
+@dataclass
+class Claimant:
+    claim: Claim
+    up: dict[int, list[Vote | Free]] = field(default_factory=dict)  # on their way, by keeper
+    down: dict[int, list[Answer]] = field(default_factory=dict)
+    looked: int = 0  # the number under which it was stopped ahead of its act; 0: it runs
+    asked: bool = False  # in this step of time
+
+
+@dataclass
+class World:
+    now: int
+    keepers: list[Keeper]
+    claimants: list[Claimant]
+    left: dict[str, int]
+    seen: int = 0  # the highest number that has acted
+    gained: int = 0  # the highest that was gained
+    fell: str = ""  # an act or a lease under a lower number than one before
+    lost: bool = False  # a keeper has forgotten numbers
+
+
+class LeaseModel:
+    """:param checks: whoever is acted on refuses a lower number than it has seen."""
+
+    def __init__(self, bounds: Bounds, checks: bool = True):
+        self.bounds, self.checks = bounds, checks
+        names = tuple(f"k{n}" for n in range(bounds.keepers))
+        self.terms = Terms(names, 1, LENGTH, DRIFT, (("t", ()),))
+
+    def start(self) -> World:
+        terms = self.terms
+        keepers = [Keeper(terms, name, 0) for name in terms.keepers]
+        names = ("a", "a") if self.bounds.same else ("a", "b")
+        claimants = [Claimant(Claim(terms, "t", name, f"t{n}", _slow(START))) for n, name in enumerate(names)]
+        return World(START, keepers, claimants, {k: v for k, v in vars(self.bounds).items() if k in LEFT})
+
+    def actions(self, world: World) -> Iterable[tuple]:
+        left = world.left
+        if left["steps"]:
+            yield ("time",)
+        for k in range(len(world.keepers)):
+            if left["falls"]:
+                yield "fall", k
+            if left["losses"]:
+                yield "lose", k
+        for n, each in enumerate(world.claimants):
+            yield from (("arrive", n, k) for k, words in each.up.items() if words)
+            yield from (("hear", n, k) for k, words in each.down.items() if words)
+            if each.looked:
+                yield "wake", n
+                continue
+            odd = [
+                (ks, way)
+                for size in range(1, min(2, left["faults"]) + 1)
+                for ks in combinations(range(len(world.keepers)), size)
+                for way in self.bounds.ways
+            ]
+            if left["asks"] and not each.asked:
+                yield "ask", n, (), ""
+                yield from (("ask", n, *each) for each in odd)
+            if each.claim.held(_slow(world.now)):
+                if left["stops"]:
+                    yield "stop", n
+                if left["acts"]:
+                    yield "act", n
+                if left["releases"]:
+                    yield "release", n, (), ""
+                    yield from (("release", n, ks, way) for ks, way in odd if way == "late there")
+
+    def act(self, world: World, action: tuple) -> None:
+        name, *rest = action
+        getattr(self, f"_{name}")(world, *rest)
+
+    # -- what happens --------------------------------------------------------------------------------------
+
+    def _time(self, world: World) -> None:
+        world.left["steps"] -= 1
+        world.now += self.bounds.step
+        for n, each in enumerate(world.claimants):
+            each.asked = False
+            claim, now = each.claim, _slow(world.now)
+            if not each.looked and claim.holding and now + claim.terms.act >= claim.until:
+                self._do(world, n, claim._lost("", now))
+
+    def _ask(self, world: World, n: int, odd: tuple[int, ...], way: str) -> None:
+        each = world.claimants[n]
+        world.left["asks"] -= 1
+        world.left["faults"] -= len(odd)
+        each.asked = True
+        self._do(world, n, each.claim._ask(_slow(world.now), 0), odd, way)
+
+    def _do(
+        self, world: World, n: int, effects: list[Effect], odd: tuple[int, ...] = (), way: str = ""
+    ) -> None:
+        """Says what is to be said; to some keepers in that way.  Words on new lines overtake late ones."""
+        each = world.claimants[n]
+        for effect in effects:
+            if isinstance(effect, Gained):
+                if effect.number <= world.gained and not world.lost:
+                    world.fell = f"number {effect.number} is gained after {world.gained}"
+                world.gained = max(world.gained, effect.number)
+            if not isinstance(effect, Ask):
+                continue
+            for k in range(len(world.keepers)):
+                how = way if k in odd else ""
+                if how in ("late there", "doubled"):
+                    each.up.setdefault(k, []).append(effect.said)
+                if how != "late there":
+                    answer = self._given(world, k, effect.said)
+                    if answer and how == "late back":
+                        each.down.setdefault(k, []).append(answer)
+                    elif answer:
+                        self._do(world, n, each.claim.answer(answer, _slow(world.now)))
+
+    def _given(self, world: World, k: int, said: Vote | Free) -> Answer | None:
+        keeper = world.keepers[k]
+        if isinstance(said, Free):
+            keeper.free(said, _fast(world.now))
+            return None
+        given = keeper.vote(said, _fast(world.now))
+        return None if isinstance(given, Refusal) else given
+
+    def _arrive(self, world: World, n: int, k: int) -> None:
+        """A word that was late comes; its answer is, too."""
+        each = world.claimants[n]
+        if answer := self._given(world, k, each.up[k].pop(0)):
+            each.down.setdefault(k, []).append(answer)
+
+    def _hear(self, world: World, n: int, k: int) -> None:
+        each = world.claimants[n]
+        self._do(world, n, each.claim.answer(each.down[k].pop(0), _slow(world.now)))
+
+    def _fall(self, world: World, k: int) -> None:
+        world.left["falls"] -= 1
+        keeper = world.keepers[k]
+        world.keepers[k] = Keeper(self.terms, keeper.name, _fast(world.now), keeper.highest())
+
+    def _lose(self, world: World, k: int) -> None:
+        world.left["losses"] -= 1
+        world.lost = True
+        world.keepers[k] = Keeper(self.terms, world.keepers[k].name, _fast(world.now))
+
+    def _stop(self, world: World, n: int) -> None:
+        world.left["stops"] -= 1
+        world.claimants[n].looked = world.claimants[n].claim.number
+
+    def _wake(self, world: World, n: int) -> None:
+        each = world.claimants[n]
+        number, each.looked = each.looked, 0
+        self._acted(world, n, number)
+
+    def _act(self, world: World, n: int) -> None:
+        world.left["acts"] -= 1
+        self._acted(world, n, world.claimants[n].claim.number)
+
+    def _acted(self, world: World, n: int, number: int) -> None:
+        if number >= world.seen:
+            world.seen = number
+        elif self.checks:
+            claim = world.claimants[n].claim
+            self._do(world, n, claim.passed(world.seen, _slow(world.now)))
+        else:
+            world.fell = f"an act of number {number} comes after one of {world.seen}"
+
+    def _release(self, world: World, n: int, odd: tuple[int, ...], way: str) -> None:
+        world.left["releases"] -= 1
+        world.left["faults"] -= len(odd)
+        claim = world.claimants[n].claim
+        effects = claim.release(_slow(world.now))
+        claim.wanted = True  # and wants it again
+        self._do(world, n, effects, odd, way)
+
+    def broken(self, world: World) -> str:
+        holders = [n for n, each in enumerate(world.claimants) if each.claim.held(_slow(world.now))]
+        if len(holders) > 1:
+            return "two claimants hold the task, and both may act"
+        return world.fell
+
+    # -- what tells states apart -----------------------------------------------------------------------------
+
+    def key(self, world: World) -> tuple:
+        fast, slow = _fast(world.now), _slow(world.now)
+
+        def keeper(k: int, it: Keeper) -> tuple:
+            ballot = it.ballots.get("t")
+            silent = max(0, it.from_ - fast)
+            left = max(0, ballot.until - fast) if ballot else 0
+            vote = (ballot.token, ballot.number, left) if left else ()
+            known = (ballot.highest, ballot.by) if ballot else ()
+            return silent, vote, known, tuple(line(k, it, each) for each in world.claimants)
+
+        def line(k: int, it: Keeper, each: Claimant) -> tuple:
+            """What lies between a keeper and a claimant; rounds as that one counts them."""
+            claim = each.claim
+            up = tuple(
+                (said.number, claim.round - said.round, said.holds) if isinstance(said, Vote) else said.number
+                for said in each.up.get(k, ())
+            )
+            down = tuple((claim.round - it.round, it.given, it.highest) for it in each.down.get(k, ()))
+            return up, down, it.name in claim.given, it.name in claim.answered
+
+        def claimant(it: Claimant) -> tuple:
+            claim = it.claim
+            held = (max(0, claim.until - slow),) if claim.holding else ()
+            age = min(slow - claim.asked, 2 * LENGTH)
+            return held, claim.number, claim.floor, age, it.looked, it.asked
+
+        # keepers are alike: which of them it is tells no states apart
+        keepers = sorted((keeper(k, it) for k, it in enumerate(world.keepers)), key=repr)
+        return (
+            tuple(world.left.values()),
+            tuple(keepers),
+            tuple(map(claimant, world.claimants)),
+            world.seen,
+            world.gained,
+            world.fell,
+            world.lost,
+        )
+
+
+LEFT = ("steps", "asks", "faults", "falls", "losses", "stops", "releases", "acts")
+
+
+def _fast(now: int) -> int:
+    return now * 9 // 8
+
+
+def _slow(now: int) -> int:
+    return now * 7 // 8
+
+
+FINE = LENGTH // 16
+PLAYED = {
+    "two claimants, words lost, late and doubled": Bounds(asks=3, faults=2),
+    "a keeper restarted with its numbers": Bounds(asks=3, faults=1, falls=1),
+    "a keeper restarted without its numbers": Bounds(asks=3, faults=1, losses=1),
+    "a holder stopped ahead of its act": Bounds(asks=2, faults=1, stops=1, acts=1),
+    "a holder that lets go and asks again": Bounds(steps=1, asks=4, faults=2, releases=2),
+    "clocks that differ": Bounds(steps=17, step=FINE, asks=3, faults=0),
+    "one name, two processes": Bounds(asks=2, faults=1, same=True),
+    "four keepers": Bounds(asks=2, faults=2, keepers=4),
+    "five keepers, most restarted": Bounds(asks=2, faults=0, falls=3, keepers=5),
+}
--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -4,17 +4,18 @@
 pools that are gone live until their last req has ended, and every req ends under the plan it came with.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
 from quartzrouter.control import Histogram, Purges, Router
 from quartzrouter.force.limits import Denied, Limits
 from quartzrouter.force.pools import Pools
-from quartzrouter.force.ruling import Ruling, keys, marked, rule, vhost_name
+from quartzrouter.force.ruling import Ruling, keys, marked, repeats, rule, vhost_name
 from quartzrouter.force.shared import budgets, holds
 from quartzrouter.interface import (
     Answer,
+    Cold,
     ColdStart,
     Deny,
     Dispatch,
@@ -33,6 +34,7 @@
 from quartzrouter.plan.sets import Asked
 from quartzrouter.purges.fleet import Copy, Fleet
 from quartzrouter.sharing.shares import Shares
+from quartzrouter.sharing.warming import Parts
 
 MS = 1_000
 LOOK_EVERY = 50 * MS  # us between counts of a pool's caches: a cache that fails is out within 50 ms anyway
@@ -74,14 +76,16 @@
     :param arguments: those of a Router, for the deployment as a whole.
     :param fleet: the fleet's purges, where there is a ledger of them.
     :param shares: what this router has of limits that it shares.
+    :param parts: what it has of what cold servers may be sent, where routers share that.
     """
 
     def __init__(
         self, plan: Plan, arguments: Mapping[str, Any], fleet: Fleet | None = None,
-        shares: Shares | None = None,
+        shares: Shares | None = None, parts: Parts | None = None,
     ):  # fmt: skip
-        self.arguments, self.fleet, self.shares = dict(arguments), fleet, shares
+        self.arguments, self.fleet, self.shares, self.parts = dict(arguments), fleet, shares, parts
         self.plan, self.matcher, self.holds = plan, Matcher(plan.routes), holds(plan)
+        self.repeats = repeats(plan)
         self.limits = Limits(plan.limits, shares, arguments["home"])
         self.pools = Pools(plan.pools, plan.splits)
         self.purges = Purges(arguments["purge_life"])  # for routers that come later
@@ -100,6 +104,7 @@
     def replace(self, plan: Plan, now: int) -> None:
         """The new plan, from this moment on."""
         self.plan, self.matcher, self.holds = plan, Matcher(plan.routes), holds(plan)
+        self.repeats = repeats(plan)
         self.limits.replace(plan.limits)
         if self.shares:
             self.shares.replace(budgets(plan, (self.arguments["home"],)))
@@ -143,6 +148,8 @@
     def _router(self) -> Router:
         router = Router(**(self.arguments | {"vhosts": list(self.vhosts.values())}))
         router.purges.at = dict(self.purges.at)
+        if self.parts:
+            router.granted = self.parts.left  # one for all pools: what one has used, another has not
         return router
 
     def _share(self, seat: Seat, pools: int) -> None:
@@ -151,7 +158,10 @@
         for key, tier in (("cold_cache", Tier.CACHE), ("cold_parent", Tier.PARENT)):
             cold: ColdStart = self.arguments[key]
             reach = cold.routers if seat.pool.stores == home else everyone
-            seat.router.warm[tier].cold = replace(cold, routers=reach * pools)
+            warm = seat.router.warm[tier]
+            warm.cold = replace(cold, routers=reach * pools)
+            shared = self.parts.terms.get(tier.value) if self.parts else None
+            warm.own = shared.floors if shared else 1.0
         seat.router.fills.routers = everyone * pools
 
     @staticmethod
@@ -273,8 +283,26 @@
 
     # -- as a Router ---------------------------------------------------------------------------------------
 
+    def _asked(self, req_id: int, further: bool, ask: Callable[[Router], Answer | None], now: int):
+        """Asks a req's Router, with what others leave to this one as it stands right now."""
+        router, ruling = self.where[req_id].router, self.rulings[req_id]
+        if self.parts:
+            self.parts.look()
+        counted = self.repeats.get(ruling.route.name) if further else None
+        if counted:
+            keys_ = keys(self.plan, ruling, self.where[req_id].pool.name, counted)
+            router.retries.free, paid = self.limits.may_repeat(keys_, now), router.retries.paid
+        answer = ask(router)
+        if counted:
+            router.retries.free = True
+            if router.retries.paid > paid:
+                self.limits.repeated(keys_, now)
+        return answer
+
     def route(self, req: Req, now: int) -> Answer | None:
-        answer = self._told(req.id, self.where[req.id].router.route(req, now), False, now)
+        further = req.id in self.where[req.id].router.flights  # it was on hold
+        answer = self._asked(req.id, further, lambda router: router.route(req, now), now)
+        answer = self._told(req.id, answer, False, now)
         self._done(req.id)
         return answer
 
@@ -282,7 +310,9 @@
         seat = self.where.get(req_id)
         if seat is None:
             return None
-        answer = self._told(req_id, seat.router.after(req_id, outcome, now), True, now)
+        further = not outcome.over and outcome.ending is not Ending.DONE
+        answer = self._asked(req_id, further, lambda router: router.after(req_id, outcome, now), now)
+        answer = self._told(req_id, answer, True, now)
         self._done(req_id)
         return answer
 
@@ -323,6 +353,25 @@
                 found[new.cache] = Sight(new.cache, old.out or new.out, done, failed, in_hand)
         return found
 
+    def cold(self, now: int) -> list[Cold]:
+        """Servers that have started lately, and what all pools' routers together would send them."""
+        found: dict[str, Cold] = {}
+        for seat in self._all():
+            for new in seat.router.cold(now):
+                old = found.get(new.server, replace(new, wanted=0, unit=0))
+                most, unit = min(old.most, new.most), max(old.unit, new.unit)
+                found[new.server] = Cold(new.server, new.tier, most, old.wanted + new.wanted, unit)
+        return list(found.values())
+
+    def loads(self, in_hand: dict[str, int], own: dict[str, int], now: int) -> None:
+        """Reqs that all routers have out at each cache, -1 where that isn't known.
+
+        :param own: of them, this one's, as it had told.
+        """
+        others = {name: -1 if said < 0 else max(0, said - own.get(name, 0)) for name, said in in_hand.items()}
+        for seat in self._all():
+            seat.router.loads(others, now)
+
     def left_out(self, until: dict[str, int], now: int) -> None:
         """What other routers have found bad, and until when (us)."""
         for seat in self._all():
--- a/quartzrouter/force/limits.py
+++ b/quartzrouter/force/limits.py
@@ -57,26 +57,47 @@
         :param keys: a limit's name and whom it counts, for each limit of the req's route.
         :param now: us.
         """
-        counts: list[tuple[Limit, Count]] = []
+        keys = [key for key in keys if self.limits[key.limit].counts == "reqs"]
+        if denied := self._look(keys, value, now):
+            return denied
         keys, shared = self._parted(keys)
         for key in keys:
-            limit, count = self.limits[key.limit], self._count(key, now)
-            if denied := self._full(limit, count, value, now):
-                return denied
-            counts.append((limit, count))
-        for limit, name in shared:  # last: what others turn away is no demand for a share
-            if come_back := self.shares.may(name, limit.keep_free if value < limit.below else 0.0):
-                return Denied(limit.name, come_back)
-        for limit, count in counts:
-            if limit.rate:
-                count.due = max(count.due, now * NS) + interval(limit)
-            count.in_hand += 1
+            self._take(key, now).in_hand += 1
         if keys:
             self.held[req] = keys
         if shared:
             self.taken[req] = [self.shares.take(name) for _, name in shared]
         return None
 
+    def may_repeat(self, keys: list[Key], now: int) -> bool:
+        """Whether a further dispatch may go by the limits that count them; look right before it."""
+        keys = [key for key in keys if self.limits[key.limit].counts == "repeats"]
+        return not self._look(keys, 0.0, now)
+
+    def repeated(self, keys: list[Key], now: int) -> None:
+        """Counts a further dispatch in that was found free."""
+        own, shared = self._parted([key for key in keys if self.limits[key.limit].counts == "repeats"])
+        for key in own:
+            self._take(key, now)
+        for _, name in shared:
+            self.shares.take(name).ended()  # a repeat is over time: nothing of it stays in hand
+
+    def _look(self, keys: list[Key], value: float, now: int) -> Denied | None:
+        own, shared = self._parted(keys)
+        for key in own:
+            if denied := self._full(self.limits[key.limit], self._count(key, now), value, now):
+                return denied
+        for limit, name in shared:  # last: what others turn away is no demand for a share
+            if come_back := self.shares.may(name, limit.keep_free if value < limit.below else 0.0):
+                return Denied(limit.name, come_back)
+        return None
+
+    def _take(self, key: Key, now: int) -> Count:
+        limit, count = self.limits[key.limit], self._count(key, now)
+        if limit.rate:
+            count.due = max(count.due, now * NS) + interval(limit)
+        return count
+
     def _parted(self, keys: list[Key]) -> tuple[list[Key], list[tuple[Limit, str]]]:
         """Those that this router counts by itself, and those it shares, with the names of their budgets."""
         if self.shares is None:
--- a/quartzrouter/force/ruling.py
+++ b/quartzrouter/force/ruling.py
@@ -57,8 +57,15 @@
     )
 
 
-def keys(plan: Plan, ruling: Ruling, pool: str) -> list[Key]:
-    """Whom each limit of the req's route counts it for."""
+def repeats(plan: Plan) -> dict[str, tuple[str, ...]]:
+    """By route, its limits that count further dispatches; routes without any lack."""
+    counted = {name for name, limit in plan.limits.items() if limit.counts == "repeats"}
+    found = {each.name: tuple(n for n in each.limits if n in counted) for each in plan.routes}
+    return {name: limits for name, limits in found.items() if limits}
+
+
+def keys(plan: Plan, ruling: Ruling, pool: str, limits: tuple[str, ...] | None = None) -> list[Key]:
+    """Whom each limit of the req's route counts it for; those named only, if any are."""
     of = {
         "route": ruling.route.name,
         "pool": pool,
@@ -66,7 +73,8 @@
         "client": ruling.client,
         "all": "",
     }
-    return [Key(name, of[plan.limits[name].per]) for name in ruling.route.limits]
+    names = ruling.route.limits if limits is None else limits
+    return [Key(name, of[plan.limits[name].per]) for name in names]
 
 
 def marked(ruling: Ruling) -> marks.Asked:
--- a/quartzrouter/force/shared.py
+++ b/quartzrouter/force/shared.py
@@ -4,7 +4,9 @@
 
 from quartzrouter.plan.model import Limit, Plan
 from quartzrouter.sharing.budget import Budget
+from quartzrouter.sharing.warming import Terms
 
+COLD = {"cache": "cold", "parent": "cold_parent"}  # keys of `deployment`, by tier
 AT = "@"  # between a limit's name and the store's: in no name
 
 
@@ -20,6 +22,18 @@
     return found
 
 
+def terms(plan: Plan) -> dict[str, Terms]:
+    """By tier, how routers share what a cold server may be sent, where they do."""
+    told, found = plan.deployment, {}
+    for tier, key in COLD.items():
+        cold = told[key]
+        here = told["routers_here"] if tier == "cache" else None
+        if cold["across"] == "all":
+            routers = here or told["routers"]
+            found[tier] = Terms(cold["window"], cold["floors"], routers, cold["share_life"])
+    return found
+
+
 def budget_of(limit: Limit, home: str) -> str:
     """The name of the budget in which a router of that store counts; nothing: it counts by itself."""
     if limit.across == "router":
--- a/quartzrouter/interface.py
+++ b/quartzrouter/interface.py
@@ -168,6 +168,17 @@
     in_hand: int
 
 
+@dataclass(frozen=True, slots=True)
+class Cold:
+    """A server that has started lately, as one router sees it."""
+
+    server: str
+    tier: Tier
+    most: int  # us of sending time that all routers may spend on it in a window
+    wanted: int  # that this router spent, or would have spent, since it was last asked
+    unit: int  # the most that one of these reqs takes
+
+
 # -- the answers -----------------------------------------------------------------------------------
 
 
--- a/quartzrouter/ledger/disk.py
+++ b/quartzrouter/ledger/disk.py
@@ -47,6 +47,24 @@
         os.close(self.fd)
 
 
+def write_whole(path: str | Path, data: bytes) -> None:
+    """Writes a file anew; either the old one or the new one is found after a crash.  Raises OSError."""
+    with open(f"{path}.new", "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fdatasync(file.fileno())
+    os.replace(f"{path}.new", path)
+    sync_folder(Path(path).parent)
+
+
+def sync_folder(folder: Path) -> None:
+    fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
 class RealDisk:
     def __init__(self, folder: str):
         self.folder = Path(folder)
@@ -68,8 +86,4 @@
         os.remove(self.folder / name)
 
     def sync(self) -> None:
-        fd = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(fd)
-        finally:
-            os.close(fd)
+        sync_folder(self.folder)
--- a/quartzrouter/ledger/serve.py
+++ b/quartzrouter/ledger/serve.py
@@ -24,6 +24,7 @@
 from quartzrouter.sharing.budget import Ask, Budget, Refusal
 from quartzrouter.sharing.council import TELL_EVERY, Council
 from quartzrouter.sharing.granter import Granter
+from quartzrouter.sharing.warming import COLDS_MOST, Terms, Warming
 
 BATCH = 4_096  # purges made durable at once: 1 MB
 COMPACT_AFTER = 50_000  # purges since the last snapshot, 10 MB
@@ -46,6 +47,7 @@
         self.said: deque[Grants | Judged] = deque(maxlen=SAID_WAIT)
         self.store = ""  # whose caches it tells of, if any
         self.judged = False  # it was last told to leave out a cache
+        self.loads = False  # it wants to be told what is out at caches
 
     def wake(self) -> None:
         self.news.set()
@@ -63,13 +65,14 @@
     """:param grace: us within which a purge must hold at every router.
     :param clock: us.
     :param budgets: of which it grants shares to routers; None: it has no plan, and grants none.
+    :param terms: by tier, on which it grants parts of what cold servers may be sent.
     :param steady: reads the monotonic clock, us.
     """
 
     def __init__(
         self, disk: Disk, grace: int, report: Report, clock: Callable[[], int] = clock,
         compact_after: int = COMPACT_AFTER, budgets: list[Budget] | None = None,
-        steady: Callable[[], int] = steady,
+        steady: Callable[[], int] = steady, terms: dict[str, Terms] | None = None,
     ):  # fmt: skip
         self.clock, self.now, self.report, self.compact_after = clock, 0, report, compact_after
         self.log = Log(disk)
@@ -86,6 +89,7 @@
         self.wanted = anyio.Event()
         self.steady = steady
         self.granter = Granter(budgets, steady()) if budgets is not None else None
+        self.warming = Warming(terms or {}, steady())
         self.council = Council()
         self.strangers = 0  # asks in a name that is not the member's
         self.connections = 0
@@ -180,10 +184,13 @@
             self.council.trim(now)
             told = [session for session in self.sessions.values() if session.store]
             found = {store: self.council.judged(store, now) for store in {each.store for each in told}}
+            stores = {each.store for each in told if each.loads}
+            loads = {at: {each.cache: each.in_hand for each in self.council.counts(at, now)} for at in stores}
             for session in told:
-                if found[session.store] or session.judged:
+                if found[session.store] or session.judged or session.loads:
                     session.judged = bool(found[session.store])
-                    session.said.append(Judged(found[session.store]))
+                    wanted = loads[session.store] if session.loads else None
+                    session.said.append(Judged(found[session.store], wanted))
                     session.wake()
 
     # -- connections -------------------------------------------------------------------------------------
@@ -308,7 +315,7 @@
             self.book.leave(session.member, now)
             self.council.left(session.member.name)
         elif isinstance(said, Sights):
-            member, session.store = session.member, said.store
+            member, session.store, session.loads = session.member, said.store, said.loads
             self.council.hear(member.name, member.token, said.store, said.sights, self.steady(), said.caches)
         elif isinstance(said, Asks) and self.granter:
             self._grant(session, said)
@@ -334,7 +341,15 @@
                 self.report.say("shares", f"{member.name}: {ask.budget:.60}: {given.place}: {given.reason}")
             else:
                 grants.append(given)
-        session.said.append(Grants(tuple(grants), refused))
+        colds = []
+        for ask in said.colds[:COLDS_MOST]:
+            given = self.warming.ask(ask, member.name, member.token, self.steady())
+            if not isinstance(given, Refusal):
+                colds.append(given)
+            elif given.place != "number":
+                refused[ask.server[:60]] = given
+                self.report.say("shares", f"{member.name}: {ask.server:.60}: {given.place}: {given.reason}")
+        session.said.append(Grants(tuple(grants), refused, tuple(colds)))
         session.wake()
 
     def _granted(self, ask: Ask, member: Member):
@@ -347,7 +362,9 @@
         if self.granter is None:
             return Budgets(self.book.epoch, (), 0)
         states = self.granter.told(self.steady())[-words.PAGE :]
-        return Budgets(self.book.epoch, tuple(states), self.granter.refused + self.strangers)
+        colds = self.warming.told(self.steady())[-words.PAGE :]
+        refused = self.granter.refused + self.warming.refused + self.strangers
+        return Budgets(self.book.epoch, tuple(states), refused, tuple(colds))
 
     def _views(self) -> Views:
         now, council = self.steady(), self.council
@@ -355,10 +372,11 @@
         views = (View(each, council.judged(each, now), council.counts(each, now)) for each in stores)
         return Views(self.book.epoch, tuple(views))
 
-    def replace(self, budgets: list[Budget]) -> None:
+    def replace(self, budgets: list[Budget], terms: dict[str, Terms]) -> None:
         """The plan was read anew."""
         if self.granter:
             self.granter.replace(budgets, self.steady())
+            self.warming.replace(terms, self.steady())
 
     async def _write(self, stream: anyio.abc.ByteStream, session: Session, hello: Hello) -> None:
         async def send(*said: words.FromLedger) -> None:
@@ -429,12 +447,13 @@
     report: Report,
     standby: tuple[str, int] | None = None,
     clock: Callable[[], int] = clock,
-    budgets: Callable[[], list[Budget]] | None = None,
+    budgets: Callable[[], tuple[list[Budget], dict[str, Terms]]] | None = None,
     steady: Callable[[], int] = steady,
 ) -> int:
     """The exit status: 0 at SIGTERM, 3 where another ledger has taken over.
 
-    :param budgets: reads those of which it grants shares, at the start and at SIGHUP; raises ValueError.
+    :param budgets: reads those of which it grants shares, and the terms of cold servers, at the start and at
+        SIGHUP; raises ValueError.
 
     Raises OSError, ValueError, Damaged and Refusing before anything is served.
     """
@@ -454,8 +473,8 @@
         if budgets is None or ledger is None:
             return
         try:
-            ledger.replace(found := await anyio.to_thread.run_sync(budgets))
-            report.say("shares", f"SIGHUP: {len(found)} budgets")
+            ledger.replace(*(found := await anyio.to_thread.run_sync(budgets)))
+            report.say("shares", f"SIGHUP: {len(found[0])} budgets")
         except (ValueError, OSError) as error:
             report.say("shares", f"SIGHUP: nothing changes: {error}")
 
@@ -467,8 +486,9 @@
                 await listener.aclose()
             await _watch(standby, grace, report)
             listeners = await _listeners(address)
-        found = budgets() if budgets else None
-        ledger = Ledger(RealDisk(folder), grace, report, clock, budgets=found, steady=steady)
+        found, terms = budgets() if budgets else (None, None)
+        disk = RealDisk(folder)
+        ledger = Ledger(disk, grace, report, clock, budgets=found, steady=steady, terms=terms)
         report.say(
             "process",
             f"epoch {ledger.book.epoch}, purges up to {ledger.book.head}, at {address[0]}:{address[1]}",
--- a/quartzrouter/plan/build.py
+++ b/quartzrouter/plan/build.py
@@ -73,7 +73,7 @@
 
     def plan(self) -> Plan | None:
         """The plan, or None where faults were found."""
-        deployment = self._deployment()
+        deployment, leases = self._deployment(), self._leases()
         stores = {
             name: self.refer(store["hub"], ("stores", name, "hub"), "hubs")
             for name, store in self.parts["stores"].items()
@@ -120,6 +120,7 @@
             limits,
             tuple(r for r in routes if r),
             self.told.get("purges"),
+            leases,
             self.check.places,
         )
 
@@ -141,6 +142,7 @@
                 code="range",
             )
         told["routers_here"] = here or all_
+        self._shared(told)
         if not told["journal"] and not self.told.get("caches"):
             self.check.note(
                 self.place("deployment"),
@@ -150,6 +152,47 @@
             )
         return told
 
+    def _leases(self) -> dict[str, Any] | None:
+        told = self.told.get("leases")
+        if not isinstance(told, dict):
+            return None
+        keepers = told["keepers"] if isinstance(told["keepers"], dict) else {}
+        at: dict[str, str] = {}
+        for name, address in keepers.items():
+            if address is not BAD and address in at:
+                self.check.note(
+                    self.place("leases", "keepers", name),
+                    f"keeper '{name}' listens where keeper '{at[address]}' does",
+                    "one keeper has one vote: give it an address of its own",
+                    "duplicate",
+                )
+            elif address is not BAD:
+                at[address] = name
+        if told["keepers"] == {} or told["tasks"] == {}:
+            missing = "keepers" if told["keepers"] == {} else "tasks"
+            self.check.note(
+                self.place("leases", missing), f"there are no {missing}", f"name {missing}", "missing"
+            )
+        return told
+
+    def _shared(self, told: dict[str, Any]) -> None:
+        """What routers share goes over a ledger's lines."""
+        colds = [key for key in ("cold", "cold_parent") if told[key]["across"] == "all"]
+        for key in colds if not self.told.get("purges") else ():
+            self.check.note(
+                self.place("deployment", key),
+                f"'{key}' is shared by all routers, and no ledger is named that grants parts of it",
+                "give the plan `purges` with its `ledgers`",
+                "never",
+            )
+        if told["counts"] is True and told["hearsay"] is False:
+            self.check.note(
+                self.place("deployment", "counts"),
+                "'counts' goes by what routers tell, and none tells",
+                "set `hearsay` too",
+                "never",
+            )
+
     def _cache(self, name: str, cache: dict[str, Any]) -> None:
         at, tier = cache["at"], cache["tier"]
         if at in self.known("hubs") and at not in self.known("stores") and tier == "cache":
@@ -264,6 +307,13 @@
                 "give the plan `purges` with its `ledgers`",
                 "never",
             )
+        if told["counts"] == "repeats" and (told["concurrent"] or not told["rate"]):
+            self.check.note(
+                self.place("limits", name, "counts"),
+                f"limit '{name}' counts repeats, which are over time",
+                "give it `rate`, and `concurrent` to a limit of reqs",
+                "never",
+            )
         burst = told["burst"] or max(1, round(told["rate"] or 0))
         return Limit(
             name,
@@ -276,6 +326,7 @@
             told["across"],
             told["floors"],
             told["share_life"],
+            told["counts"],
         )
 
     def _pool(self, name: str, told: dict[str, Any]) -> Pool | None:
--- a/quartzrouter/plan/model.py
+++ b/quartzrouter/plan/model.py
@@ -71,6 +71,7 @@
     across: str = "router"  # or store or fleet: what all routers of it share
     floors: float = 0.0  # share of it that routers have whoever hears nothing
     life: int = 0  # us of a granted share
+    counts: str = "reqs"  # or repeats
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +101,7 @@
     limits: dict[str, Limit]
     routes: tuple[Route, ...]
     purges: dict[str, Any] | None = None
+    leases: dict[str, Any] | None = None
     places: dict[tuple[str, ...], Place] = field(default_factory=dict, compare=False)
 
     def pools_of(self, name: str) -> list[str]:
--- a/quartzrouter/plan/vocabulary.py
+++ b/quartzrouter/plan/vocabulary.py
@@ -78,6 +78,17 @@
             of=number(1, 100), default=2.0, doc="it falls over at this multiple of its capacity"
         ),
         "window": Entry(of=duration("1ms", "1min"), default=1_000_000, doc="... sent over this time"),
+        "across": Entry(
+            of=Choice(of=("router", "all")),
+            default="router",
+            doc="who has a part of that: each router an equal one, or all together as they want it",
+        ),
+        "floors": Entry(
+            of=share(1), default=0.2, doc="of it, for routers that hear nothing: each an equal part"
+        ),
+        "share_life": Entry(
+            of=duration("50ms", "10s"), default=500_000, doc="a granted part is worth nothing after it"
+        ),
     },
 )
 DEPLOYMENT = RecordOf(
@@ -119,6 +130,11 @@
             default=False,
             doc="tells others of bad caches, and leaves out what they have found bad",
         ),
+        "counts": Entry(
+            of=Truth(),
+            default=False,
+            doc="with `hearsay`: goes by how many reqs all routers have out at each cache",
+        ),
         "cold": Entry(of=COLD, default={}, doc="caches that have just started"),
         "cold_parent": Entry(of=COLD, default={}, doc="parents that have just started"),
     },
@@ -217,6 +233,11 @@
             default="all",
             doc="what is counted by itself",
         ),
+        "counts": Entry(
+            of=Choice(of=("reqs", "repeats")),
+            default="reqs",
+            doc="what it counts: reqs, or their further dispatches after a failure",
+        ),
         "rate": Entry(of=rate(), doc="reqs over time"),
         "burst": Entry(
             of=whole(1, 1_000_000), doc="reqs at once; a second's worth of the rate, where not given"
@@ -296,6 +317,34 @@
         ),
     },
 )
+TASK = RecordOf(
+    word="a task that one process does for the fleet",
+    entries={
+        "prefer": Entry(
+            of=ListOfKind(of=Text(test=_name), one_too=True),
+            default=[],
+            doc="claimants by name: others leave it to them for half a lease",
+        ),
+    },
+)
+LEASES = RecordOf(
+    word="leases of fleet-wide tasks",
+    entries={
+        "keepers": Entry(
+            of=named(ADDRESS, "keeper"), default=REQUIRED, doc="three or five; a majority grants"
+        ),
+        "version": Entry(
+            of=whole(1, 1_000_000), default=1, doc="of the keepers' list: one higher with each change"
+        ),
+        "length": Entry(
+            of=duration("100ms", "10min"), default=3_000_000, doc="a lease ends by itself after it"
+        ),
+        "drift": Entry(
+            of=whole(1, 200_000), default=200, doc="parts in a million by which any clock may be off its pace"
+        ),
+        "tasks": Entry(of=named(TASK, "task"), default=REQUIRED, doc="what is held by one at a time"),
+    },
+)
 PLAN = RecordOf(
     word="a plan",
     entries={
@@ -304,6 +353,7 @@
         "hubs": Entry(of=named(HUB, "hub"), default={}, doc="locations with parents"),
         "caches": Entry(of=named(CACHE, "cache"), default={}, doc="servers, where no journal tells of them"),
         "purges": Entry(of=PURGES, doc="follows a ledger of purges; left out: no"),
+        "leases": Entry(of=LEASES, doc="who does fleet-wide tasks; left out: whoever is started"),
         "vhosts": Entry(of=named(VHOST, "vhost"), default=REQUIRED, doc="classes of reqs"),
         "policies": Entry(of=named(POLICY, "policy"), default={}, doc="what may differ by route"),
         "pools": Entry(of=named(POOL, "pool"), default=REQUIRED, doc="caches that serve a route"),
--- a/quartzrouter/purges/words.py
+++ b/quartzrouter/purges/words.py
@@ -11,6 +11,7 @@
 
 from quartzrouter.sharing.budget import Ask, Grant, Refusal, State
 from quartzrouter.sharing.council import Count, Judgement, Sight
+from quartzrouter.sharing.warming import ColdAsk, ColdGrant, ColdState
 
 LINE_MOST = 1 << 18  # bytes of one line: a page of 512 purges, each of a few hundred; see page()
 VALUES_MOST = 64  # of one purge: more are several purges
@@ -105,21 +106,27 @@
     """Who is there, and how far."""
 
 
-class Asks(msgspec.Struct, tag_field="say", tag="asks"):
-    """A member asks for shares of budgets; said to a ledger only whose welcome says that it grants them."""
+class Asks(msgspec.Struct, tag_field="say", tag="asks", omit_defaults=True):
+    """A member asks for shares of budgets; said to a ledger only whose welcome says that it grants them.
+
+    :param colds: for parts of what cold servers may be sent; an older ledger passes them over.
+    """
 
     asks: tuple[Ask, ...]
+    colds: tuple[ColdAsk, ...] = ()
 
 
-class Sights(msgspec.Struct, tag_field="say", tag="sights"):
+class Sights(msgspec.Struct, tag_field="say", tag="sights", omit_defaults=True):
     """What a router has seen of its store's caches; said to a ledger whose welcome says that it judges.
 
     :param caches: how many it knows; those not told of have nothing out, and no news.
+    :param loads: it wants to be told how many reqs all routers have out at each cache.
     """
 
     store: str
     sights: tuple[Sight, ...]
     caches: int
+    loads: bool = False
 
 
 class AskViews(msgspec.Struct, tag_field="say", tag="views"):
@@ -250,31 +257,39 @@
     members: tuple[MemberLine, ...]
 
 
-class Grants(msgspec.Struct, tag_field="say", tag="grants"):
+class Grants(msgspec.Struct, tag_field="say", tag="grants", omit_defaults=True):
     """The answer to asks for shares.
 
-    :param refused: those not obeyed, by their budgets.
+    :param refused: those not obeyed, by their budgets or cold servers.
     """
 
     grants: tuple[Grant, ...]
     refused: dict[str, Refusal] = {}
+    colds: tuple[ColdGrant, ...] = ()
 
 
 class Budgets(msgspec.Struct, tag_field="say", tag="budgets"):
     """How the budgets stand; at most PAGE of them, those asked for last.
 
     :param refused: asks that were not obeyed since the ledger's start.
+    :param colds: servers that have started lately, and what was granted of them; likewise.
     """
 
     epoch: int
     budgets: tuple[State, ...]
     refused: int
+    colds: tuple[ColdState, ...] = ()
 
 
-class Judged(msgspec.Struct, tag_field="say", tag="judged"):
-    """The caches that are to be left out for now; those not named are not."""
+class Judged(msgspec.Struct, tag_field="say", tag="judged", omit_defaults=True):
+    """The caches that are to be left out for now; those not named are not.
+
+    :param loads: reqs that all routers have out at each cache, -1: not known; those not named have none.
+        None: it was not asked for.
+    """
 
     judgements: tuple[Judgement, ...]
+    loads: dict[str, int] | None = None
 
 
 class View(msgspec.Struct):
--- /dev/null
+++ b/quartzrouter/rehearse/leases.py
@@ -0,0 +1,360 @@
+"""One holder of a task at a time, on loopback: keepers and claimants as processes, faults drawn from a seed.
+
+Each claimant acts on a witness as often as it may.  The checkers read what the witness took, and which
+processes were stopped and killed, never what a process believes.
+"""
+
+import random
+import tempfile
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from functools import partial
+from pathlib import Path
+
+import anyio
+
+from quartzrouter.keeper.wire import ask_all
+from quartzrouter.leases.terms import Keeps
+from quartzrouter.net import serve
+from quartzrouter.plan.quantity import quantity
+from quartzrouter.rehearse import Tally
+from quartzrouter.stand import checks, schedule
+from quartzrouter.stand.fleet import Clocks, Fleet
+from quartzrouter.stand.links import Link, Way
+from quartzrouter.stand.schedule import Fault
+from quartzrouter.stand.witness import Witness
+
+S = 1_000_000
+TASK = "sweep"
+ENDS_WITHIN = 2.0  # s at SIGTERM
+VOTES_WITHIN = 30.0  # s until all keepers vote
+
+PLAN = """{{
+  deployment: {{ name: "l", home: "north", listen: "127.0.0.1:8443" }},
+  stores: {{ north: {{ hub: "h" }} }}, hubs: {{ h: {{}} }},
+  caches: {{ n: {{ address: "127.0.0.1:1", at: "north" }} }},
+  vhosts: {{ page: {{ effect: "replayable", client_timeout: 1s }} }},
+  pools: {{ near: {{}} }}, routes: {{ all: {{ match: {{}}, vhost: "page", pool: "near" }} }},
+  leases: {{
+    keepers: {{ {keepers} }}, length: {length}, drift: {drift}, tasks: {{ sweep: {{ prefer: [{prefer}] }} }},
+  }},
+}}"""
+
+
+@dataclass(frozen=True)
+class Shape:
+    """What is played.
+
+    :param drift: parts in a million, of the plan; clocks are off by as much at most.
+    :param fast: likewise, of each keeper's clock; and `slow` of the first claimant's, the others' are fast by
+        as much.  None: drawn.
+    :param names: of claimants, where not all have one of their own.
+    """
+
+    keepers: int = 5
+    claimants: int = 6
+    length: str = "600ms"
+    drift: int = 2_000
+    fast: int | None = None
+    slow: int | None = None
+    seconds: float = 22.0
+    spoil: float = 0.02
+    only: tuple[str, ...] = ("lose", "double", "swap")
+    names: tuple[str, ...] = ()
+    prefer: str = ""
+
+
+DRAWN = Shape()
+
+
+class LeaseFleet(Fleet):
+    """Keepers with folders, claimants with a link to each keeper, and a witness of what they do."""
+
+    def __init__(self, folder: Path, chance: random.Random, shape: Shape, guards: Sequence[str] = ()):
+        super().__init__(folder, chance)
+        self.shape, self.out = shape, [each for each in guards if each != UNCHECKED]
+        self.witness = Witness(self.history, UNCHECKED not in guards)
+        self.keepers, self.claimants = [], []
+        self.keeper_ports: list[int] = []
+        self.ways_of: dict[str, list[Link]] = {}  # of a claimant, to each keeper
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        shape = self.shape
+        await self.witness.start(tasks)
+        self.keeper_ports = [self._port() for _ in range(shape.keepers)]
+        own = [f"127.0.0.1:{port}" for port in self.keeper_ports]
+        for n in range(shape.keepers):
+            clocks = self._clocks(shape.fast)
+            self.keepers.append(self.add_keeper(f"k{n}", self.plan(own), clocks, self.out))
+            self.keepers[-1].start()
+        for n in range(shape.claimants):
+            links = [Link(("127.0.0.1", port), self.chance) for port in self.keeper_ports]
+            for link in links:
+                await link.start(tasks)
+                for way in link.ways:
+                    way.spoil, way.only = shape.spoil, shape.only
+            self.ways_of[f"c{n}"] = links
+            name = shape.names[n] if shape.names else f"c{n}"
+            plan = self.plan([f"127.0.0.1:{link.port}" for link in links])
+            clocks = self._clocks(shape.slow and (shape.slow if n == 0 else -shape.slow))
+            told = (f"c{n}", name, plan, TASK, self.witness.port, clocks, self.out)
+            self.claimants.append(self.add_claimant(*told))
+        await self.vote()
+        for party in self.claimants:
+            party.start()
+
+    def _clocks(self, fast: int | None) -> Clocks:
+        drift = self.shape.drift
+        return Clocks(
+            self.chance.randint(-5, 5) * S, self.chance.randint(-drift, drift) if fast is None else fast
+        )
+
+    def plan(self, addresses: Sequence[str]) -> str:
+        keepers = ", ".join(f'k{n}: "{at}"' for n, at in enumerate(addresses))
+        shape = self.shape
+        return PLAN.format(keepers=keepers, length=shape.length, drift=shape.drift, prefer=shape.prefer)
+
+    async def vote(self) -> None:
+        """Until all keepers vote."""
+        at = {f"k{n}": ("127.0.0.1", port) for n, port in enumerate(self.keeper_ports)}
+        with anyio.fail_after(VOTES_WITHIN):
+            while True:
+                found = await ask_all(at)
+                if all(isinstance(each, Keeps) and not each.silent for each in found.values()):
+                    return
+                await anyio.sleep(0.05)
+
+    # -- faults --------------------------------------------------------------------------------------------
+
+    def party(self, name: str):
+        return next(each for each in self.parties if each.name == name)
+
+    def links_of(self, name: str) -> list[Link]:
+        """Of a claimant, as c3, or some of its links, as c3/0,1."""
+        claimant, _, keepers = name.partition("/")
+        links = self.ways_of[claimant]
+        return [links[int(n)] for n in keepers.split(",")] if keepers else links
+
+    def ways(self, name: str) -> list[Way]:
+        return [way for link in self.links_of(name) for way in link.ways]
+
+    async def strike(self, fault: Fault) -> None:
+        """Does it, waits, and mends it."""
+        self.history.add("fault", fault.who, kind=fault.what, lasts=fault.lasts, much=fault.much)
+        await getattr(self, f"_{fault.what}")(fault)
+
+    async def _cut(self, fault: Fault) -> None:
+        """Nothing passes to keepers: both ways, or one (1: to them, 2: from them)."""
+        for link in self.links_of(fault.who):
+            link.up.held, link.down.held = fault.much in (0, 1), fault.much in (0, 2)
+        await anyio.sleep(fault.lasts / 1000)
+        for link in self.links_of(fault.who):
+            link.hold(False)
+
+    async def _late(self, fault: Fault) -> None:
+        for way in self.ways(fault.who):
+            way.late = fault.much
+        await anyio.sleep(fault.lasts / 1000)
+        for way in self.ways(fault.who):
+            way.late = 0.0
+
+    async def _spoil(self, fault: Fault) -> None:
+        for way in self.ways(fault.who):
+            way.spoil = fault.much
+        await anyio.sleep(fault.lasts / 1000)
+        for way in self.ways(fault.who):
+            way.spoil = self.shape.spoil
+
+    async def _reset(self, fault: Fault) -> None:
+        for link in self.links_of(fault.who):
+            link.reset()
+
+    async def _stop(self, fault: Fault) -> None:
+        party = self.party(fault.who)
+        party.stop()
+        await anyio.sleep(fault.lasts / 1000)
+        party.go_on()
+
+    async def _kill(self, fault: Fault) -> None:
+        """Some processes at once, as `k0 k1`; with `much` their folders are lost."""
+        parties = [self.party(name) for name in fault.who.split()]
+        for party in parties:
+            party.kill()
+            if fault.much:
+                party.lose_folder()
+        await anyio.sleep(fault.lasts / 1000)
+        for party in parties:
+            party.start()
+
+    async def _jump(self, fault: Fault) -> None:
+        """The wall clock is set by so many s, and back."""
+        page = self.party(fault.who).page
+        off = page.off
+        page.jump(off + int(fault.much * S))
+        await anyio.sleep(fault.lasts / 1000)
+        page.jump(off)
+
+    async def _end(self, fault: Fault) -> None:
+        """SIGTERM to a claimant: it hands over."""
+        party = self.party(fault.who)
+        if party.runs:
+            party.process.terminate()
+            with anyio.move_on_after(ENDS_WITHIN):  # one that is stopped doesn't
+                while party.runs:
+                    await anyio.sleep(0.005)
+            party.kill()
+        await anyio.sleep(fault.lasts / 1000)
+        party.start()
+
+    async def _holder(self, fault: Fault) -> None:
+        """As the kind that `who` names, at whoever has acted last."""
+        last = checks.acts(self.history)
+        who = last[-1].who if last else "c0"
+        await self.strike(Fault(fault.at, fault.who, who, fault.lasts, fault.much))
+
+    async def _fail(self, fault: Fault) -> None:
+        """Acts of one claimant go wrong."""
+        self.witness.failing.add(fault.who)
+        await anyio.sleep(fault.lasts / 1000)
+        self.witness.failing.discard(fault.who)
+
+
+def drawn(chance: random.Random, shape: Shape, faults: int) -> list[Fault]:
+    """So many faults, most of them at claimants, and each of the hard ones once."""
+    keepers, claimants = [f"k{n}" for n in range(shape.keepers)], [f"c{n}" for n in range(shape.claimants)]
+    until, length = round(shape.seconds * 1000) - 2_500, quantity(shape.length).us // 1000
+    kinds = {
+        "cut": (claimants, (200, 3 * length), (0, 0, 1, 2)),
+        "late": (claimants, (500, 3_000), (0.02, length / 4_000, length / 1_500)),
+        "spoil": (claimants, (500, 3_000), (0.3, 0.6)),
+        "reset": (claimants, (0, 0), (0,)),
+        "stop": ([*claimants, *keepers], (100, 2 * length), (0,)),
+        "kill": (keepers, (50, 800), (0, 0, 1)),
+        "jump": ([*claimants, *keepers], (500, 3_000), (-10, -1, 1, 10)),
+        "holder": (["cut", "stop", "kill", "end", "late"], (100, 2 * length), (0,)),
+        "fail": (claimants, (200, 1_500), (0,)),
+    }
+    found = schedule.drawn(chance, kinds, faults, until)
+    minority = " ".join(chance.sample(keepers, len(keepers) - len(keepers) // 2 - 1))
+    hard = [
+        Fault(0, "kill", minority, 500, 1.0), Fault(0, "kill", " ".join(keepers), 200),
+        Fault(0, "kill", " ".join(keepers), 100, 1.0), Fault(0, "holder", "stop", 2 * length),
+    ]  # fmt: skip
+    for n, fault in enumerate(hard):
+        at = 1_000 + n * (until - 3_000) // len(hard) + chance.randint(0, 1_000)
+        found.append(Fault(at, fault.what, fault.who, fault.lasts, fault.much))
+    return sorted(found, key=lambda fault: fault.at)
+
+
+@dataclass
+class Seen:
+    """What checkers found in one play."""
+
+    fleet: LeaseFleet
+    began: int  # us
+    ended: int
+    faults: tuple[str, ...]  # of the program itself
+
+    @property
+    def overlaps(self) -> list:
+        return checks.overlaps(self.fleet.history)
+
+    @property
+    def falls(self) -> list:
+        return checks.falls(self.fleet.history)
+
+    @property
+    def acts(self) -> int:
+        return len(checks.acts(self.fleet.history))
+
+    @property
+    def broken(self) -> bool:
+        return bool(self.overlaps or self.falls)
+
+
+def play(chance: random.Random, shape: Shape, faults: Sequence[Fault], guards: Sequence[str] = ()) -> Seen:
+    """Plays a schedule once."""
+    return anyio.run(partial(_play, chance, shape, faults, guards), backend_options=serve.LOOP)
+
+
+async def _play(chance, shape: Shape, faults: Sequence[Fault], guards: Sequence[str]) -> Seen:
+    with tempfile.TemporaryDirectory() as name, anyio.fail_after(shape.seconds + 60):
+        fleet = LeaseFleet(Path(name), chance, shape, guards)
+        try:
+            async with anyio.create_task_group() as tasks:
+                await fleet.start(tasks)
+                began = serve.steady()
+                async with anyio.create_task_group() as played:
+                    played.start_soon(schedule.play, faults, fleet.strike)
+                    await anyio.sleep(shape.seconds)
+                ended = serve.steady()
+                tasks.cancel_scope.cancel()
+        finally:
+            fleet.end()
+        return Seen(fleet, began, ended, tuple(fleet.faults()))
+
+
+# -- guards, each taken out once ---------------------------------------------------------------------------
+
+UNCHECKED = "whoever is acted on takes any number"  # a guard of the witness, not of a process
+FEW = Shape(keepers=3, claimants=2, length="1s", drift=200, seconds=8.0, spoil=0.0)
+STOPS = [Fault(1_500 + 1_500 * n, "holder", "stop", 1_400) for n in range(6)]
+
+SCENES: dict[str, tuple[Shape, list[Fault]]] = {
+    "a keeper votes right after its start": (
+        replace(FEW, length="3s"),
+        [Fault(2_000, "holder", "cut", 6_000), Fault(2_100, "kill", "k0 k1 k2", 0)],
+    ),
+    "a lease counts from its answers": (
+        replace(FEW, length="2s"),
+        [Fault(0, "late", "c0", 9_000, 0.45), Fault(0, "late", "c1", 3_000, 2.5),
+         Fault(3_200, "cut", "c0", 5_000)],
+    ),
+    "the drift is left out": (
+        replace(FEW, length="2s", drift=190_000, fast=190_000, slow=-190_000),
+        [Fault(0, "cut", "c1", 2_000), Fault(3_500, "cut", "c0", 4_000)],
+    ),
+    "half of the keepers will do": (
+        replace(FEW, keepers=4), [Fault(0, "cut", "c0/2,3", 8_000), Fault(0, "cut", "c1/0,1", 8_000)],
+    ),
+    "a keeper votes for all": (FEW, []),
+    "leases end by the wall clock": (
+        FEW,
+        [Fault(2_000, "jump", f"c{n}", 6_000, -10.0) for n in range(2)]
+        + [Fault(2_050, "holder", "cut", 5_000)],
+    ),
+    "a name is enough": (replace(FEW, names=("c", "c")), []),
+    UNCHECKED: (replace(FEW, seconds=11.0), STOPS),
+}  # fmt: skip
+
+
+def killed(seed: int, guard: str) -> tuple[Seen, Seen]:
+    """A guard's scene with it and without it."""
+    shape, faults = SCENES[guard]
+    return tuple(play(random.Random(seed), shape, faults, out) for out in ((), (guard,)))
+
+
+# -- the rehearsal -----------------------------------------------------------------------------------------
+
+
+def rehearse(seed: int, tally: Tally, shape: Shape = DRAWN) -> None:
+    chance = random.Random(seed)
+    faults = drawn(chance, shape, 26)
+    seen = play(chance, shape, faults)
+    history = seen.fleet.history
+    for word, pairs in (("while", seen.overlaps), ("after", seen.falls)):
+        for one, act in pairs[:3]:
+            tally.expect(False, f"{act.who} acts under {act.number} {word} {one.who} under {one.number}")
+    tally.expect(not seen.faults, f"faults: {seen.faults[:1]}")
+    tally.figures["faults, keepers, claimants"] = f"{len(faults)}, {shape.keepers}, {shape.claimants}"
+    found = checks.acts(history)
+    tally.figures["acts, under numbers, refused"] = (
+        f"{len(found)}, {len({each.number for each in found})}, {seen.fleet.witness.refused}"
+    )
+    length = quantity(shape.length).us
+    gaps = sorted(each for each in checks.pauses(history, seen.began, seen.ended) if each > length // 4)
+    tally.figures["without a holder: times, longest, in all"] = (
+        f"{len(gaps)}, {max(gaps, default=0) / S:.2f} s, {sum(gaps) / S:.2f} s of {shape.seconds:.0f}"
+    )
+    tally.expect(len(found) > 10 * shape.seconds, f"only {len(found)} acts: nothing is shown")
+    tally.figures["acts at the same moment, numbers that fell"] = f"{len(seen.overlaps)}, {len(seen.falls)}"
--- a/quartzrouter/rehearse/sharing.py
+++ b/quartzrouter/rehearse/sharing.py
@@ -40,19 +40,20 @@
 PLAN = """{{
   deployment: {{
     name: "s", home: "north", listen: "127.0.0.1:{port}", number: {number}, routers: {routers},
-    descriptors: 256, dispatches: 2, hearsay: {hearsay},
+    descriptors: 256, dispatches: {dispatches}, hearsay: {hearsay}, {more}
   }},
   stores: {{ north: {{ hub: "h" }} }}, hubs: {{ h: {{}} }},
   caches: {{ {listed} }},
-  vhosts: {{ page: {{ effect: "replayable", client_timeout: {timeout}, kept: false }} }},
+  vhosts: {{ page: {{ effect: "replayable", client_timeout: {timeout}, kept: false, {target} }} }},
   purges: {{ ledgers: [{ledgers}], life: 10s, grace: {grace} }},
   pools: {{ near: {{}} }},
   limits: {{
     calls: {{ rate: {rate}/s, burst: {burst}, across: "fleet", floors: {floors}, share_life: {life} }},
     crowd: {{ concurrent: {slots}, across: "fleet", floors: {slot_floors}, share_life: {life} }},
+    again: {{ rate: {repeats}/s, burst: {repeats}, counts: "repeats", across: "fleet", share_life: {life} }},
   }},
   routes: {{
-    calls: {{ match: {{ path: "/calls/**" }}, vhost: "page", pool: "near", limits: "calls" }},
+    calls: {{ match: {{ path: "/calls/**" }}, vhost: "page", pool: "near", limits: ["calls", "again"] }},
     crowd: {{ match: {{ path: "/crowd/**" }}, vhost: "page", pool: "near", limits: "crowd" }},
     all: {{ match: {{}}, vhost: "page", pool: "near" }},
   }},
@@ -96,6 +97,12 @@
     cache_links: bool = False  # a link from each router to each cache, which can be cut
     drift: int = 150  # parts in a million, by which clocks run fast or slow at most
     quiet: int = QUIET
+    dispatches: int = 2
+    repeats: int = 10_000  # further dispatches a second
+    weight: float = 400  # of each cache: transfers that its link carries
+    target: str = ""  # of the vhost: more of its keys
+    more: str = ""  # keys of the deployment
+    unlisted: int = 0  # caches, the first ones, that no plan lists until a fault `list`
 
 
 DRAWN = Shape()
@@ -112,6 +119,7 @@
         self.budgets: dict[str, Budget] = {}
         self.to_caches: list[list[Link]] = []  # of each router
         self.awake = set(range(shape.routers))  # whose crowd asks
+        self.unlisted = shape.unlisted
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         shape, chance, self.tasks = self.shape, self.chance, tasks
@@ -149,8 +157,9 @@
         shape = self.shape
         told = asdict(shape) | other
         listed = [
-            f'n{one}: {{ address: "{at}", at: "north", weight: 400 }}'
+            f'n{one}: {{ address: "{at}", at: "north", weight: {shape.weight} }}'
             for one, at in enumerate(self._caches_of(n))
+            if one >= self.unlisted
         ]
         caches = ", ".join([*listed, 'o: { address: "127.0.0.1:1", at: "h", tier: "origin", weight: 400 }'])
         return PLAN.format(port=self.ports[n], number=n, listed=caches, ledgers=ledgers, **told)
@@ -305,6 +314,13 @@
         await anyio.sleep(fault.lasts / 1000)
         page.jump(off)
 
+    async def _list(self, fault: Fault) -> None:
+        """All routers read a plan that lists all caches: those that are new to it have just started."""
+        self.unlisted = 0
+        for n, router in enumerate(self.routers):
+            self.plan_of(n).write_text(self.plan(n))
+            router.reload()
+
     async def _reload(self, fault: Fault) -> None:
         """A plan with so many slots, at the ledger or one router."""
         if fault.who.startswith("ledger"):
--- a/quartzrouter/site/purges.py
+++ b/quartzrouter/site/purges.py
@@ -1,12 +1,12 @@
 """A router under a plan as a member of the fleet: what answers tell of copies, and the file of marks."""
 
-import os
 import re
 import secrets
 from pathlib import Path
 
 import msgspec
 
+from quartzrouter.ledger.disk import write_whole
 from quartzrouter.plan.model import Plan
 from quartzrouter.purges import tags
 from quartzrouter.purges.fleet import Copy, Fleet
@@ -58,12 +58,8 @@
 
 
 def save(path: str, memo: Memo) -> None:
-    """Writes the file anew; either the old one or the new one is found after a crash.  Raises OSError."""
-    with open(f"{path}.new", "wb") as file:
-        file.write(_encode(memo))
-        file.flush()
-        os.fdatasync(file.fileno())
-    os.replace(f"{path}.new", path)
+    """Writes the file anew, whole or not at all.  Raises OSError."""
+    write_whole(path, _encode(memo))
 
 
 def resume(path: str, fleet: Fleet, follower: Follower, now: int) -> str:
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -62,7 +62,7 @@
     ) -> list[Effect | Tell | Hang]:
         match event:
             case AskShares():
-                return self._asks()
+                return self._asks(now)
             case TellSights():
                 return self._sights(now)
             case Linked():
@@ -86,19 +86,23 @@
                     fleet.caught = caches
                 case Grants():
                     self._granted(given)
-                case Judged(judgements):
+                case Judged(judgements, loads):
                     self._judged(judgements, now)
+                    if loads is not None:
+                        own = {name: sight.in_hand for name, sight in self.seen.items()}
+                        self.force.loads(loads, own, now)
                 case Say(told):
                     effects.append(Tell(told))
                 case End(reason, come_back):
                     effects.append(Hang(reason, come_back))
         return effects
 
-    def _asks(self) -> list[Tell]:
-        shares = self.force.shares
-        if not (self.follower and self.follower.grants) or not (asks := shares.asks()):
+    def _asks(self, now: int) -> list[Tell]:
+        if not (self.follower and self.follower.grants):
             return []
-        return [Tell(Asks(asks))]
+        asks, parts = self.force.shares.asks(), self.force.parts
+        colds = parts.asks(self.force.cold(now)) if parts and parts.terms else ()
+        return [Tell(Asks(asks, colds))] if asks or colds else []
 
     def _sights(self, now: int) -> list[Tell]:
         """What this router has seen itself since it last told."""
@@ -112,7 +116,8 @@
             begun = max(0, good + bad + new.in_hand - old.in_hand)
             if new.out or good or bad or new.in_hand:
                 said.append(words.Sight(name, new.out, good, bad, new.in_hand, begun))
-        return [Tell(Sights(self.force.arguments["home"], tuple(said[:SIGHTS_MOST]), len(self.seen)))]
+        told = (self.force.arguments["home"], tuple(said[:SIGHTS_MOST]), len(self.seen))
+        return [Tell(Sights(*told, self.force.plan.deployment["counts"]))]
 
     def _judged(self, judgements: tuple[words.Judgement, ...], now: int) -> None:
         """Leaves caches out for as long as others say, as few as may be; each ends by itself."""
@@ -125,6 +130,8 @@
 
     def _granted(self, said: Grants) -> None:
         self.force.shares.granted(said.grants)
+        if self.force.parts:
+            self.force.parts.granted(said.colds)
         for budget, refusal in said.refused.items():
             self.refused[budget] = refusal
             while len(self.refused) > REFUSED_MOST:
@@ -148,7 +155,7 @@
     def _came(self, ticket: int, call: Call, now: int) -> None:
         denied = self.force.admit(ticket, call.ruling, now)
         if self.force.shares and self.force.shares.fresh:
-            self.effects += self._asks()  # a budget that nothing is held of waits for no timer
+            self.effects += self._asks(now)  # a budget that nothing is held of waits for no timer
         if denied is not None:
             self.denied[denied.limit] = self.denied.get(denied.limit, 0) + 1
             self.effects.append(Reply(ticket, answer.denied(denied.come_back)))
--- a/quartzrouter/site/serve.py
+++ b/quartzrouter/site/serve.py
@@ -8,7 +8,7 @@
 
 from quartzrouter.briefing import Post, Section, Unusable, address
 from quartzrouter.force.force import Force
-from quartzrouter.force.shared import budgets
+from quartzrouter.force.shared import budgets, terms
 from quartzrouter.ledger.link import Hang, Link, Tell
 from quartzrouter.net import serve
 from quartzrouter.net.journal import Lines, known
@@ -21,6 +21,7 @@
 from quartzrouter.site.logs import Structured
 from quartzrouter.sharing.council import TELL_EVERY
 from quartzrouter.sharing.shares import NOTHING, Counts, Shares, shown
+from quartzrouter.sharing.warming import Parts
 from quartzrouter.site.reducer import AskShares, NewPlan, PlannedReducer, TellSights
 
 
@@ -44,7 +45,8 @@
         arguments, home = self.post.briefing.arguments, self.plan.deployment["home"]
         name, token = (follower.name, follower.token) if follower else (self.post.name, "")
         shares = Shares(budgets(self.plan, (home,)), name, token, serve.steady)
-        self.force = Force(self.plan, arguments, self.fleet, shares)
+        parts = Parts(terms(self.plan), serve.steady) if follower else None
+        self.force = Force(self.plan, arguments, self.fleet, shares, parts)
         file = self.plan.purges["file"] if self.fleet else None
         if file and (wrong := purges.resume(file, self.fleet, follower, serve.clock())):
             self.report.say("ledger", wrong)
@@ -86,7 +88,10 @@
 
     async def _ask_shares(self) -> None:
         while True:
-            await anyio.sleep(self.force.shares.wait() / 1e6)
+            due = self.force.shares.wait()
+            if colds := self.force.parts.wait():
+                due = min(due, colds)
+            await anyio.sleep(due / 1e6)
             self.feed(AskShares())
 
     async def _tell_sights(self) -> None:
--- a/quartzrouter/stand/checks.py
+++ b/quartzrouter/stand/checks.py
@@ -1,12 +1,18 @@
 """What a history shows of budgets: how much was in use, at the caches, whatever any process believes."""
 
 from bisect import bisect_right, insort
-from collections.abc import Iterable
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from math import inf
 
 from quartzrouter.sharing.budget import Budget, S
 from quartzrouter.stand.history import Event, History
 
 
+HALT = 50_000  # us by which an act may reach its witness after its process was stopped: it was on its way
+
+
 def in_hand(history: History, prefix: str, since: int = 0) -> tuple[int, int]:
     """The most reqs that were at caches at a time from then on, each req once, and when (us)."""
     steps: list[tuple[int, int, str]] = []
@@ -73,6 +79,87 @@
     return [event for event in history.of("send") if ended.get(event.told["path"], last) - event.at > within]
 
 
+@dataclass
+class Act:
+    """An act that its witness took: us of its begin and end, None where no end came."""
+
+    who: str
+    number: int
+    began: int
+    ended: int | None = None
+
+
+def acts(history: History) -> list[Act]:
+    """All that a witness took, in their order."""
+    found: list[Act] = []
+    under_way: dict[str, Act] = {}
+    for event in history.of("begin", "finish"):
+        if event.what == "begin":
+            under_way[event.who] = Act(event.who, event.told["number"], event.at)
+            found.append(under_way[event.who])
+        elif (act := under_way.pop(event.who, None)) and act.number == event.told["number"]:
+            act.ended = event.at
+    return found
+
+
+def overlaps(history: History) -> list[tuple[Act, Act]]:
+    """Acts that began while another's was under way; not where the other's process was stopped or dead.
+
+    Whoever is stopped in the middle of an act can't end it; what it says afterwards is refused by its number.
+    """
+    halted: dict[str, list[int]] = {}
+    for event in history.of("stop", "kill"):
+        halted.setdefault(event.who, []).append(event.at)
+    found, open_ = [], []
+    for act in acts(history):
+        open_ = [each for each in open_ if each.ended is None or each.ended > act.began]
+        for each in open_:
+            broken_off = any(each.began - HALT <= at <= act.began for at in halted.get(each.who, ()))
+            if each.who != act.who and not broken_off:
+                found.append((each, act))
+        open_ = [act]
+    return found
+
+
+def falls(history: History) -> list[tuple[Act, Act]]:
+    """Acts of a lower number than one before them, with that one."""
+    found: list[tuple[Act, Act]] = []
+    highest: Act | None = None
+    for act in acts(history):
+        if highest and act.number < highest.number:
+            found.append((highest, act))
+        elif highest is None or act.number > highest.number:
+            highest = act
+    return found
+
+
+def pauses(history: History, since: int, until: int) -> list[int]:
+    """us between the end of acts and the begin of the next, in that time; without end, from its begin."""
+    found, last = [], since
+    for act in acts(history):
+        if act.began >= since:
+            if last >= since and act.began <= until:
+                found.append(max(0, act.began - last))
+            last = max(last, act.ended or act.began)
+    found.append(max(0, until - last))
+    return found
+
+
+def pushed(times: Iterable[int], window: int, most: Callable[[int], float]) -> tuple[float, int]:
+    """By how many reqs the worst window had more than a server may be sent, and when that window ended (us).
+
+    :param most: reqs that may come in a window which ends then.
+    """
+    worst, when, lately = -inf, 0, deque()
+    for at in sorted(times):
+        lately.append(at)
+        while lately[0] <= at - window:
+            lately.popleft()
+        if (excess := len(lately) - most(at)) > worst:
+            worst, when = excess, at
+    return worst, when
+
+
 def rate(reqs: list[tuple[int, int]], since: int, until: int) -> float:
     """Reqs a second that arrived in that time."""
     times = sorted(at for _, at in reqs)
--- a/quartzrouter/stand/child.py
+++ b/quartzrouter/stand/child.py
@@ -2,6 +2,8 @@
 
 python -m quartzrouter.stand.child PAGE router PLAN [GUARD...]
 python -m quartzrouter.stand.child PAGE ledger FOLDER HOST:PORT GRACE_US PLAN|- STANDBY|- [GUARD...]
+python -m quartzrouter.stand.child PAGE keeper PLAN NAME FOLDER|- [GUARD...]
+python -m quartzrouter.stand.child PAGE claimant PLAN TASK NAME WITNESS_PORT [GUARD...]
 python -m quartzrouter.stand.child PAGE cli ARGUMENT...
 """
 
@@ -34,6 +36,25 @@
         beside = address(standby, "standby") if standby != "-" else None
         told = (folder, address(listen, "listen"), int(grace), report, beside, wall, granted, even)
         return anyio.run(serve.serve, *told, backend_options=LOOP)
+    if what == "keeper":
+        from quartzrouter.cli.keeper import reader
+        from quartzrouter.keeper import serve as keeper
+        from quartzrouter.keeper.numbers import Numbers
+
+        path, name, folder, *guards = told
+        _take_out(guards, wall)
+        report = Structured(name, wall, logger())
+        numbers = Numbers(folder, name, lambda said: report.say("lease", said)) if folder != "-" else None
+        anyio.run(keeper.serve, name, reader(path, name), report, numbers, even, backend_options=LOOP)
+        return 0
+    if what == "claimant":
+        from quartzrouter.stand.witness import claimant
+
+        path, task, name, port, *guards = told
+        _take_out(guards, wall)
+        report = Structured(name, wall, logger())
+        anyio.run(claimant, path, task, name, int(port), report, even, wall, backend_options=LOOP)
+        return 0
     from quartzrouter.plan.load import load
     from quartzrouter.site import serve as site
 
--- a/quartzrouter/stand/fleet.py
+++ b/quartzrouter/stand/fleet.py
@@ -78,6 +78,28 @@
         self.routers.append(self._party(f"r{n}", ["router", str(path), *guards], clocks))
         return self.routers[-1]
 
+    def add_keeper(self, name: str, plan: str, clocks: Clocks = TRUE, guards: Sequence[str] = ()) -> Party:
+        """:param plan: its text, with the address at which it listens."""
+        path, folder = self.folder / f"{name}.plan", self.folder / name
+        path.write_text(plan)
+        told = ["keeper", str(path), name, str(folder), *guards]
+        self.others.append(self._party(name, told, clocks, folder))
+        return self.others[-1]
+
+    def add_claimant(
+        self, party: str, name: str, plan: str, task: str, witness: int, clocks: Clocks = TRUE,
+        guards: Sequence[str] = (),
+    ) -> Party:  # fmt: skip
+        """:param plan: its text, with the addresses at which it reaches keepers.
+        :param witness: the port of whoever it acts on.
+        """
+        path = self.folder / f"{party}.plan"
+        path.write_text(plan)
+        self.others.append(
+            self._party(party, ["claimant", str(path), task, name, str(witness), *guards], clocks)
+        )
+        return self.others[-1]
+
     def add_command(self, name: str, *words: str) -> Party:
         self.others.append(self._party(name, ["cli", *words], Clocks()))
         return self.others[-1]
--- a/quartzrouter/stand/guards.py
+++ b/quartzrouter/stand/guards.py
@@ -3,6 +3,10 @@
 A guard that no fault finds missing is not proven, so each is taken out once, in tests and in rehearsals.
 """
 
+from quartzrouter.keeper.claims import Claims
+from quartzrouter.leases.claim import Claim
+from quartzrouter.leases.keeper import Keeper
+from quartzrouter.leases.terms import Answer, Terms
 from quartzrouter.ledger.log import Log
 from quartzrouter.ledger.serve import Ledger
 from quartzrouter.net.clock import clock
@@ -13,6 +17,7 @@
 from quartzrouter.sharing.granter import Granter
 from quartzrouter.sharing.share import Share
 from quartzrouter.sharing.shares import Shares
+from quartzrouter.sharing.warming import Parts, Pot, Warming
 
 # -- of purges -------------------------------------------------------------------------------------------
 
@@ -139,4 +144,69 @@
     "a restarted router's slots are forgotten": (Granter, "_holder", forgets),
     "a granter doesn't look whether another has begun": (Log, "check", lambda self: None),
 }
-GUARDS = PURGES | SHARED
+# -- of what cold servers may be sent ----------------------------------------------------------------------
+
+GRANTED_COLD, WARM = Parts.granted, Warming.__init__
+
+
+def cold_twice(self, grants):
+    for grant in grants:
+        part = self.parts.get(grant.server)
+        asked = part.asked.get(grant.number) if part else None
+        GRANTED_COLD(self, [grant])
+        if asked is not None:
+            part.asked[grant.number] = asked
+
+
+def warm_at_once(self, terms, now):
+    WARM(self, terms, now)
+    self.from_ = dict.fromkeys(self.from_, now)
+
+
+COLD = {
+    "a cold server's granter grants at once": (Warming, "__init__", warm_at_once),
+    "a doubled part of a cold server counts twice": (Parts, "granted", cold_twice),
+    "a cold server's granter forgets what it granted": (Pot, "lately", lambda self, since: 0),
+}
+# -- of leases ---------------------------------------------------------------------------------------------
+
+KEEPER, VOTE, GAINED, CLAIMS = Keeper.__init__, Keeper.vote, Claim._gained, Claims.__init__
+
+
+def votes_at_once(self, terms, name, now, highest=None):
+    KEEPER(self, terms, name, now, highest)
+    self.from_ = now
+
+
+def from_the_answer(self, now):
+    asked, self.asked = self.asked, now
+    effects = GAINED(self, now)
+    self.asked = asked
+    return effects
+
+
+def votes_for_all(self, said, now):
+    for ballot in self.ballots.values():
+        ballot.until = min(ballot.until, now)
+    return VOTE(self, said, now)
+
+
+def votes_for_names(self, said, now):
+    given = VOTE(self, said._replace(token="same"), now)
+    return given._replace(token=said.token) if isinstance(given, Answer) else given
+
+
+def claims_by_the_wall(self, terms, addresses, name, report, steady, clock):
+    CLAIMS(self, terms, addresses, name, report, clock, clock)
+
+
+LEASES = {
+    "a keeper votes right after its start": (Keeper, "__init__", votes_at_once),
+    "a lease counts from its answers": (Claim, "_gained", from_the_answer),
+    "the drift is left out": (Terms, "slack", lambda self, time: 0),
+    "half of the keepers will do": (Terms, "majority", property(lambda self: len(self.keepers) // 2)),
+    "a keeper votes for all": (Keeper, "vote", votes_for_all),
+    "a name is enough": (Keeper, "vote", votes_for_names),
+    "leases end by the wall clock": (Claims, "__init__", claims_by_the_wall),
+}
+GUARDS = PURGES | SHARED | COLD | LEASES
--- /dev/null
+++ b/quartzrouter/stand/witness.py
@@ -0,0 +1,105 @@
+"""Whoever is acted on by the holder of a task: takes acts, tells the history, and refuses lower numbers.
+
+A claimant's process here does nothing but act, as often as it may, with a pause between its look at the clock
+and each act, so that a stop may fall in between.
+"""
+
+import json
+import time
+from collections.abc import Callable
+
+import anyio
+
+from quartzrouter.keeper.claims import Claims, Hold
+from quartzrouter.keeper.told import terms
+from quartzrouter.ledger.wire import connect, lines
+from quartzrouter.net.report import Report
+from quartzrouter.plan.load import load
+from quartzrouter.stand.history import History
+from quartzrouter.standin.boxes import LOST
+from quartzrouter.standin.loopback import Server
+
+LOOK_TO_ACT = 0.006  # s: a process is stopped anywhere, also there
+ACT = 0.008  # s
+PAUSE = 0.004  # s between two acts
+
+
+class Witness(Server):
+    """:param checks: it refuses numbers lower than it has seen.
+
+    `failing` names those whose acts go wrong.
+    """
+
+    def __init__(self, history: History, checks: bool = True):
+        self.history, self.checks = history, checks
+        self.seen = 0
+        self.refused = 0
+        self.failing: set[str] = set()
+
+    async def serve(self, stream: anyio.abc.ByteStream) -> None:
+        async with stream:
+            try:
+                async for line in lines(stream):
+                    who, what, number = json.loads(line)
+                    await stream.send(json.dumps(self._take(who, what, number)).encode() + b"\n")
+            except LOST:
+                return
+
+    def _take(self, who: str, what: str, number: int) -> list:
+        if self.checks and number < self.seen:
+            self.refused += 1
+            self.history.add("refuse", who, number=number)
+            return ["no", self.seen]
+        if who in self.failing:
+            return ["fails", 0]
+        self.seen = max(self.seen, number)
+        self.history.add(what, who, number=number)
+        return ["yes", number]
+
+
+class Failing(Exception):
+    """The act goes wrong."""
+
+
+async def claimant(
+    path: str, task: str, name: str, port: int, report: Report, steady: Callable[[], int],
+    clock: Callable[[], int],
+) -> None:  # fmt: skip
+    """Acts for as long as it holds the task, until SIGTERM; its party's name is the plan's file name."""
+    import signal
+
+    told, addresses = terms(load(path).plan)
+    claims = Claims(told, addresses, name, report, steady, clock)
+    party = path.rpartition("/")[2].removesuffix(".plan")
+
+    async def work(hold: Hold) -> None:
+        async with await connect(("127.0.0.1", port)) as stream:
+            heard = lines(stream)
+
+            async def say(what: str) -> tuple[str, int]:
+                await stream.send(json.dumps([party, what, hold.number]).encode() + b"\n")
+                return json.loads(await anext(heard))
+
+            while hold.held():
+                time.sleep(LOOK_TO_ACT)  # the loop stands as well: what is stopped here knows nothing of it
+                with anyio.CancelScope(shield=True):  # an act that has begun is ended, within the time for it
+                    answer, number = await say("begin")
+                    if answer == "yes":
+                        await anyio.sleep(ACT)
+                        await say("finish")
+                if answer == "fails":
+                    raise Failing("the witness says so")
+                if answer == "no":
+                    hold.passed(number)
+                    return
+                hold.worked()
+                await anyio.sleep(PAUSE)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(claims.run)
+        tasks.start_soon(claims.perform, task, work)
+        with anyio.open_signal_receiver(signal.SIGTERM) as received:
+            async for _ in received:
+                await claims.release()
+                tasks.cancel_scope.cancel()
+                return
--- a/quartzrouter/standin/loopback.py
+++ b/quartzrouter/standin/loopback.py
@@ -1,5 +1,6 @@
 """A client that speaks FastCGI, and caches that answer over HTTP/1.1, by the public pages of both."""
 
+import random
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 
@@ -9,6 +10,7 @@
 from quartzrouter.net.ring import Ring
 
 MARKS = b"X-Tag: 4be0c1927d55a6f3\r\nX-Minted: 1764576000123\r\n"
+PORTS = 20_000, 32_000
 WHOLE = b"HTTP/1.1 200 OK\r\n" + MARKS + b"Content-Length: 5\r\n\r\nabcde"
 
 
@@ -70,8 +72,14 @@
 
 
 async def free_port():
-    async with await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0) as free:
-        return free.extra(anyio.abc.SocketAttribute.local_port)
+    """A port that nobody listens at, below those that the system gives to connections."""
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        try:
+            async with await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port):
+                return port
+        except OSError:
+            continue
 
 
 class Server:
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -256,7 +256,7 @@
     async def scene(ledger, tell, until, port):
         await tell(Hello("r", "router", "t"))
         assert (await until(Welcome)).grants
-        ledger.replace([CALLS])
+        ledger.replace([CALLS], {})
         await tell(Asks((GOOD,)))
         assert (await until(Grants)).grants[0].number == 1
 
