--- /dev/null
+++ b/benchmarks/leases.py
@@ -0,0 +1,90 @@
+"""What leases cost, and for how long a task has no holder: tables on standard output.
+
+python benchmarks/leases.py [words] [gaps]
+"""
+
+import random
+import statistics
+import sys
+import time
+from dataclasses import replace
+
+from quartzrouter.leases.claim import Ask, Claim
+from quartzrouter.leases.keeper import Keeper
+from quartzrouter.leases.terms import Answer, Free, Terms
+from quartzrouter.plan.quantity import quantity
+from quartzrouter.rehearse.leases import Fault, Shape, play
+from quartzrouter.stand import checks
+
+S = 1_000_000
+STEP = 5_000  # us
+SECONDS = 20
+PLAYS = 6  # of each kind
+FAULTS = 5  # in one play
+SHAPE = Shape(keepers=5, claimants=4, length="1s", drift=200, spoil=0.0, seconds=5.0 * FAULTS)
+KINDS = {
+    "killed": ("kill", 500),
+    "stopped": ("stop", 2_500),
+    "cut off": ("cut", 2_500),
+    "told to stop": ("end", 100),
+}
+
+
+def words() -> None:
+    """Five keepers, 20 tasks, 200 claimants that all want all: decisions alone, at true time."""
+    terms = Terms(tuple(f"k{n}" for n in range(5)), tasks=tuple((f"t{n}", ()) for n in range(20)))
+    now, said = 10 * S, 0
+    keepers = [Keeper(terms, name, 0) for name in terms.keepers]
+    claims = [Claim(terms, task, f"c{n}", f"x{n}", now) for n in range(200) for task, _ in terms.tasks]
+    began, cpu = now, time.process_time()
+    held = 0
+    while now < began + SECONDS * S:
+        now += STEP
+        for claim in claims:
+            if claim.wait(now) > 0:
+                continue
+            todo = list(claim.tick(now, now // 1000))
+            while todo:
+                effect = todo.pop(0)
+                if not isinstance(effect, Ask):
+                    continue
+                for keeper in keepers:
+                    said += 1
+                    if isinstance(effect.said, Free):
+                        for name in keeper.free(effect.said, now):
+                            next(c for c in claims if (c.name, c.task) == (name, effect.said.task)).freed(now)
+                    elif isinstance(answer := keeper.vote(effect.said, now), Answer):
+                        todo += claim.answer(answer, now)
+    held = sum(claim.held(now) for claim in claims)
+    took = time.process_time() - cpu
+    rate, each = said / SECONDS, took / said * 1e6
+    print(f"5 keepers, 20 tasks, 200 claimants, leases of 3 s: {held} held")
+    print(f"{rate:.0f} words a second to all keepers, a line carries many; {each:.1f} us of CPU a word")
+
+
+def gaps() -> None:
+    """Processes: from the fault until another acts; for a hand-over from the last act."""
+    length = quantity(SHAPE.length).us
+    print(f"{'holder':14} {'times':>6} {'median':>9} {'p99':>9} {'worst':>9}   s, lease {length / S:g} s")
+    for name, (kind, lasts) in KINDS.items():
+        found: list[int] = []
+        for seed in range(PLAYS):
+            faults = [Fault(1_500 + 5_000 * n, "holder", kind, lasts) for n in range(FAULTS)]
+            seen = play(random.Random(seed), replace(SHAPE), faults)
+            acts = checks.acts(seen.fleet.history)
+            struck = [each for each in seen.fleet.history.of("fault") if each.told["kind"] == kind]
+            for each in struck:
+                before = [act for act in acts if act.who == each.who and act.began < each.at + 200_000]
+                after = [act.began for act in acts if act.who != each.who and act.began > each.at]
+                if before and after:
+                    last = max(each.at, before[-1].began) if kind == "end" else each.at
+                    found.append(min(after) - last)
+        found.sort()
+        p99 = found[min(len(found) - 1, int(0.99 * len(found)))]
+        told = (statistics.median(found) / S, p99 / S, found[-1] / S)
+        print(f"{name:14} {len(found):6} " + " ".join(f"{figure:9.3f}" for figure in told))
+
+
+if __name__ == "__main__":
+    for what in sys.argv[1:] or ("words", "gaps"):
+        {"words": words, "gaps": gaps}[what]()
--- a/quartzrouter/cli/ledger.py
+++ b/quartzrouter/cli/ledger.py
@@ -32,20 +32,31 @@
 @click.option(
     "--standby", type=ADDRESS, help="Take over the folder once the ledger at this address is silent."
 )
+@click.option("--task", help="Grant shares only while this task of the plan's `leases` is held here.")
+@click.option("--name", help="With --task: the claimant's name, one for each process.")
 def run(
-    folder: str, listen: tuple[str, int], grace: int, plan: str | None, standby: tuple[str, int] | None
-) -> None:
+    folder: str, listen: tuple[str, int], grace: int, plan: str | None, standby: tuple[str, int] | None,
+    task: str | None, name: str | None,
+) -> None:  # fmt: skip
     """Take purges and hand them to the fleet until SIGTERM; exit with 3 if another ledger took over."""
     import anyio
 
     from quartzrouter.ledger import serve
     from quartzrouter.net.loop import LOOP
-    from quartzrouter.net.clock import clock
+    from quartzrouter.net.clock import clock, steady
     from quartzrouter.site.logs import Structured, logger
 
     report, budgets = Structured("ledger", clock, logger()), budgets_of(plan) if plan else None
     try:
-        told = (folder, listen, grace, report, standby, clock, budgets)
+        claims = None
+        if task and not plan:
+            raise click.UsageError("--task needs --plan, which names the keepers")
+        if task:
+            from quartzrouter.cli.plan import checked
+            from quartzrouter.cli.purge import claims_of
+
+            claims = claims_of(checked(plan), plan, task, name, report)
+        told = (folder, listen, grace, report, standby, clock, budgets, steady, claims, task or "")
         sys.exit(anyio.run(serve.serve, *told, backend_options=LOOP))
     except Faulty as error:
         click.echo(f"quartzrouter: {error}", err=True)
--- a/quartzrouter/cli/purge.py
+++ b/quartzrouter/cli/purge.py
@@ -225,7 +225,9 @@
 @click.argument("path", metavar="PLAN")
 @click.option("--rate", type=float, default=500.0, show_default=True, help="Purges a second to one cache.")
 @click.option("--only", multiple=True, help="These caches only; may be repeated.")
-def deliver(path: str, rate: float, only: tuple[str, ...]) -> None:
+@click.option("--task", help="Deliver only while this task of the plan's `leases` is held here.")
+@click.option("--name", help="With --task: the claimant's name, one for each process.")
+def deliver(path: str, rate: float, only: tuple[str, ...], task: str | None, name: str | None) -> None:
     """Bring purges to the caches that a plan lists, by HTTP PURGE, until SIGTERM."""
     import anyio
 
@@ -248,8 +250,31 @@
         raise click.UsageError(f"there is no cache {sorted(unknown)[0]!r} in {path}")
     caches = {name: at for name, at in caches.items() if not only or name in only}
     ledgers = [address(at, "purges.ledgers") for at in made.purges["ledgers"]]
-    report = Structured("courier", clock, logger())
-    anyio.run(run, caches, ledgers, made.purges["grace"], report, rate, backend_options=LOOP)
+    report = Structured(name or "courier", clock, logger())
+    claims = claims_of(made, path, task, name, report) if task else None
+    told = (caches, ledgers, made.purges["grace"], report, rate, claims, task)
+    anyio.run(run, *told, backend_options=LOOP)
+
+
+def claims_of(plan, path: str, task: str, name: str | None, report):
+    """What a process claims; refuses a task that the plan doesn't name, with its place."""
+    from quartzrouter.keeper.claims import Claims
+    from quartzrouter.keeper.told import Untold, terms
+
+    if not name:
+        raise click.UsageError("--task needs --name: claimants are told apart by it")
+    try:
+        told, addresses = terms(plan)
+    except Untold as error:
+        click.echo(f"quartzrouter: {path}: {error}", err=True)
+        sys.exit(1)
+    if task not in dict(told.tasks):
+        place = plan.places.get(("leases", "tasks")) or plan.places.get(("leases",))
+        known = ", ".join(each for each, _ in told.tasks)
+        where = place or path
+        click.echo(f"quartzrouter: {where}: there is no task {task!r}; there are {known}", err=True)
+        sys.exit(1)
+    return Claims(told, addresses, name, report)
 
 
 async def ask(ledgers, said):
--- a/quartzrouter/leases/keeper.py
+++ b/quartzrouter/leases/keeper.py
@@ -35,7 +35,7 @@
     by: tuple[str, str] = ("", "")
     shunned: str = ""  # a holder that an operator wants gone, until a time
     shunned_until: int = 0
-    waiting: OrderedDict[str, int] = field(default_factory=OrderedDict)  # since when, by name
+    waiting: OrderedDict[str, int] = field(default_factory=OrderedDict)  # when last turned away, by name
 
 
 class Keeper:
@@ -78,7 +78,7 @@
     def _turned_away(self, ballot: Ballot, said: Vote, taken: bool, until: int, now: int) -> Answer:
         left = ballot.until - now if taken else max(0, until - now)
         if taken:
-            ballot.waiting.setdefault(said.name, now)
+            ballot.waiting[said.name] = now
             while len(ballot.waiting) > WAITING_MOST:
                 ballot.waiting.popitem(last=False)
         holder = ballot.name if taken else ""
--- a/quartzrouter/ledger/deliver.py
+++ b/quartzrouter/ledger/deliver.py
@@ -7,6 +7,7 @@
 import anyio
 import h11
 
+from quartzrouter.leases.holding import Claims, Hold
 from quartzrouter.ledger.link import Link, Linked, Said
 from quartzrouter.ledger.wire import connect
 from quartzrouter.net.progress import LOST
@@ -20,6 +21,7 @@
 
 CONNECTIONS = 2  # to one cache: purges on their way share them
 PURGED_TO = b"x-purged-to"
+LEASE_SEEN = b"x-purge-lease-seen"  # with 409: the number of a later lease
 READ = 1 << 14  # bytes
 
 
@@ -31,6 +33,14 @@
     """The cache answered, and did not take it."""
 
 
+class Passed(Refusal):
+    """The cache has heard of a later lease."""
+
+    def __init__(self, seen: int):
+        super().__init__(f"a later lease has delivered, number {seen}")
+        self.seen = seen
+
+
 class Line:
     """One connection to a cache, one req at a time."""
 
@@ -66,7 +76,7 @@
         head = [("Host", f"{self.address[0]}:{self.address[1]}"), *fields]
         await self.stream.send(self.http.send(h11.Request(method=method, target=target, headers=head)))
         await self.stream.send(self.http.send(h11.EndOfMessage()) or b"")
-        held, status = 0, 0
+        held, status, seen = 0, 0, 0
         while not isinstance(event := self.http.next_event(), h11.EndOfMessage):
             if event is h11.NEED_DATA:
                 try:
@@ -75,13 +85,16 @@
                     self.http.receive_data(b"")
             elif isinstance(event, h11.Response):
                 status = event.status_code
-                held = int(dict(event.headers).get(PURGED_TO, b"0"))
+                told = dict(event.headers)
+                held, seen = int(told.get(PURGED_TO, b"0")), int(told.get(LEASE_SEEN, b"0"))
             elif isinstance(event, h11.ConnectionClosed):
                 raise ValueError("closed without an answer")
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
         else:
             await self.close()
+        if status == 409 and seen:
+            raise Passed(seen)
         if status != 200:
             raise Refusal(f"it answered {status}")
         return held
@@ -97,13 +110,14 @@
     """Brings purges to one cache, and tells the ledger how far that has come.
 
     :param rate: purges a second.
+    :param hold: the task of delivering, where one of several processes does it.
     """
 
     def __init__(
         self, name: str, address: tuple[str, int], ledgers: Sequence[tuple[str, int]], grace: int,
-        report: Report, rate: float,
+        report: Report, rate: float, hold: Hold | None = None,
     ):  # fmt: skip
-        self.name, self.report = name, report
+        self.name, self.report, self.hold = name, report, hold
         self.box = Box(name, rate)
         self.lines = [Line(address) for _ in range(CONNECTIONS)]
         self.follower = Follower(name, "cache", secrets.token_hex(8), Lease(lease(grace)), acks=False)
@@ -174,6 +188,8 @@
         self.wake.set()
 
     async def _deliver(self, delivery: Delivery) -> None:
+        if self.hold and not self.hold.held():
+            return  # the lease ends, or has ended: whoever has it next asks the cache where it stands
         purge = delivery.purge
         values = purge.values
         if purge.kind == "object":  # caches know objects by the keys in their targets
@@ -186,10 +202,16 @@
             ("X-Purge-Older-Ms", str(delivery.age // 1000)),
             ("X-Purge-Done", str(self.box.reached)),
         ]
+        fields += [("X-Purge-Lease", str(self.hold.number))] if self.hold else []
         fields += [("X-Purge-Vhost", purge.vhost)] if purge.vhost else []
         fields += [("X-Purge-Store", purge.store)] if purge.store else []
         try:
             await self.lines[self.turn % CONNECTIONS].ask("PURGE", "/", fields)
+        except Passed as error:
+            self.report.say("cache", f"{self.name}: purge {purge.number}: {error}")
+            self.box.refused(purge.number, clock())
+            if self.hold:
+                self.hold.passed(error.seen)
         except Refusal as error:
             self.report.say("cache", f"{self.name}: purge {purge.number}: {error}")
             self.box.refused(purge.number, clock())
@@ -205,14 +227,28 @@
 
 async def deliver(
     caches: Mapping[str, tuple[str, int]], ledgers: Sequence[tuple[str, int]], grace: int, report: Report,
-    rate: float,
+    rate: float, claims: Claims | None = None, task: str = "",
 ) -> None:  # fmt: skip
-    """Brings purges to all caches until SIGTERM."""
+    """Brings purges to all caches until SIGTERM.
+
+    :param claims: of this process, where several may deliver and one does: whoever holds the task.
+    """
+
+    async def run(hold: Hold | None = None) -> None:
+        async with anyio.create_task_group() as couriers:
+            for name, address in caches.items():
+                couriers.start_soon(Courier(name, address, ledgers, grace, report, rate, hold).run)
+
     async with anyio.create_task_group() as tasks:
-        for name, address in caches.items():
-            tasks.start_soon(Courier(name, address, ledgers, grace, report, rate).run)
+        if claims:
+            tasks.start_soon(claims.run)
+            tasks.start_soon(claims.perform, task, run)
+        else:
+            tasks.start_soon(run)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
             async for number in received:
                 report.say("process", f"{number.name}: stopping")
+                if claims:
+                    await claims.release()
                 tasks.cancel_scope.cancel()
                 return
--- a/quartzrouter/ledger/serve.py
+++ b/quartzrouter/ledger/serve.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from quartzrouter.leases.holding import Claims
 from quartzrouter.ledger.disk import Disk, RealDisk
 from quartzrouter.ledger.files import Damaged, Refusing
 from quartzrouter.ledger.log import Fenced, Log
@@ -33,6 +34,7 @@
 CONNECTIONS_MOST = 8_192  # routers, caches and clients
 COME_BACK = 1_000_000  # us, where the disk takes nothing
 FENCED = 3  # exit status
+UNLEASED = 1  # in place of a lease's number, where one ledger grants
 SAID_WAIT = 16  # words to one member that takes nothing: older ones have run out
 
 
@@ -66,6 +68,7 @@
     :param clock: us.
     :param budgets: of which it grants shares to routers; None: it has no plan, and grants none.
     :param terms: by tier, on which it grants parts of what cold servers may be sent.
+    :param may_grant: the number of the lease under which it grants, asked right before; 0: it is not the one.
     :param steady: reads the monotonic clock, us.
     """
 
@@ -73,6 +76,7 @@
         self, disk: Disk, grace: int, report: Report, clock: Callable[[], int] = clock,
         compact_after: int = COMPACT_AFTER, budgets: list[Budget] | None = None,
         steady: Callable[[], int] = steady, terms: dict[str, Terms] | None = None,
+        may_grant: Callable[[], int] = lambda: UNLEASED,
     ):  # fmt: skip
         self.clock, self.now, self.report, self.compact_after = clock, 0, report, compact_after
         self.log = Log(disk)
@@ -90,6 +94,7 @@
         self.steady = steady
         self.granter = Granter(budgets, steady()) if budgets is not None else None
         self.warming = Warming(terms or {}, steady())
+        self.may_grant, self.granting = may_grant, UNLEASED  # the number under which it last granted
         self.council = Council()
         self.strangers = 0  # asks in a name that is not the member's
         self.connections = 0
@@ -331,6 +336,8 @@
         except Fenced as error:
             self._fence(error)
             return
+        if not self._grants():
+            return
         grants, refused, member = [], {}, session.member
         for ask in said.asks[: words.ASKS_MOST]:
             given = self._granted(ask, member)
@@ -352,6 +359,16 @@
         session.said.append(Grants(tuple(grants), refused, tuple(colds)))
         session.wake()
 
+    def _grants(self) -> bool:
+        """Whether this process grants now.  Under another lease than before it starts as after a takeover: it
+        knows nothing of what others have granted meanwhile."""
+        number = self.may_grant()
+        if number and number != self.granting:
+            now, budgets = self.steady(), list(self.granter.budgets.values())
+            self.granter, self.warming = Granter(budgets, now), Warming(self.warming.terms, now)
+            self.granting = number
+        return bool(number)
+
     def _granted(self, ask: Ask, member: Member):
         if (ask.name, ask.token) != (member.name, member.token):
             self.strangers += 1
@@ -449,11 +466,14 @@
     clock: Callable[[], int] = clock,
     budgets: Callable[[], tuple[list[Budget], dict[str, Terms]]] | None = None,
     steady: Callable[[], int] = steady,
+    claims: Claims | None = None,
+    task: str = "",
 ) -> int:
     """The exit status: 0 at SIGTERM, 3 where another ledger has taken over.
 
     :param budgets: reads those of which it grants shares, and the terms of cold servers, at the start and at
         SIGHUP; raises ValueError.
+    :param claims: of this process, where ledgers with folders of their own may grant: whoever holds the task.
 
     Raises OSError, ValueError, Damaged and Refusing before anything is served.
     """
@@ -466,6 +486,8 @@
                     await reread()
                     continue
                 report.say("process", f"{number.name}: stopping")
+                if claims:
+                    await claims.release()
                 scope.cancel()
                 return
 
@@ -488,7 +510,13 @@
             listeners = await _listeners(address)
         found, terms = budgets() if budgets else (None, None)
         disk = RealDisk(folder)
-        ledger = Ledger(disk, grace, report, clock, budgets=found, steady=steady, terms=terms)
+        claim = claims.claim(task) if claims else None
+        may_grant = (lambda: claim.number * claim.held(claims.steady())) if claim else lambda: UNLEASED
+        ledger = Ledger(
+            disk, grace, report, clock, budgets=found, steady=steady, terms=terms, may_grant=may_grant
+        )
+        if claims:
+            tasks.start_soon(claims.run)
         report.say(
             "process",
             f"epoch {ledger.book.epoch}, purges up to {ledger.book.head}, at {address[0]}:{address[1]}",
--- a/quartzrouter/stand/checks.py
+++ b/quartzrouter/stand/checks.py
@@ -102,10 +102,12 @@
     return found
 
 
-def overlaps(history: History) -> list[tuple[Act, Act]]:
+def overlaps(history: History, most: int) -> list[tuple[Act, Act]]:
     """Acts that began while another's was under way; not where the other's process was stopped or dead.
 
     Whoever is stopped in the middle of an act can't end it; what it says afterwards is refused by its number.
+
+    :param most: us that an act may take; one that takes longer had no CPU, which is a stop as well.
     """
     halted: dict[str, list[int]] = {}
     for event in history.of("stop", "kill"):
@@ -114,8 +116,9 @@
     for act in acts(history):
         open_ = [each for each in open_ if each.ended is None or each.ended > act.began]
         for each in open_:
-            broken_off = any(each.began - HALT <= at <= act.began for at in halted.get(each.who, ()))
-            if each.who != act.who and not broken_off:
+            halts = halted.get(each.who, ())
+            broken_off = any(each.began - HALT <= at <= act.began for at in halts)
+            if each.who != act.who and not broken_off and act.began - each.began <= most:
                 found.append((each, act))
         open_ = [act]
     return found
--- a/quartzrouter/stand/witness.py
+++ b/quartzrouter/stand/witness.py
@@ -5,8 +5,11 @@
 """
 
 import json
+import os
+import signal
 import time
 from collections.abc import Callable
+from threading import Event
 
 import anyio
 
@@ -66,11 +69,11 @@
     clock: Callable[[], int],
 ) -> None:  # fmt: skip
     """Acts for as long as it holds the task, until SIGTERM; its party's name is the plan's file name."""
-    import signal
-
     told, addresses = terms(load(path).plan)
     claims = Claims(told, addresses, name, report, steady, clock)
     party = path.rpartition("/")[2].removesuffix(".plan")
+    halts = Event()
+    signal.signal(signal.SIGUSR1, lambda number, frame: halts.set())  # stop between a look and its act
 
     async def work(hold: Hold) -> None:
         async with await connect(("127.0.0.1", port)) as stream:
@@ -82,6 +85,9 @@
 
             while hold.held():
                 time.sleep(LOOK_TO_ACT)  # the loop stands as well: what is stopped here knows nothing of it
+                if halts.is_set():
+                    halts.clear()
+                    os.kill(os.getpid(), signal.SIGSTOP)
                 with anyio.CancelScope(shield=True):  # an act that has begun is ended, within the time for it
                     answer, number = await say("begin")
                     if answer == "yes":
--- a/quartzrouter/standin/boxes.py
+++ b/quartzrouter/standin/boxes.py
@@ -71,6 +71,7 @@
     applied: set[int] = field(default_factory=set)
     refuse: float = 0.0  # share of purges that it answers 503
     asked: int = 0
+    lease: int = 0  # the highest number under which purges came; those without one after it are refused
     purged: int = 0
     most: int = 0  # purges in its busiest second
     recent: list[int] = field(default_factory=list)
@@ -165,6 +166,10 @@
         self.most = max(self.most, len(self.recent))
         if self.chance.random() < self.refuse:
             return _head(503, {}, b"")
+        lease = int(fields.get("x-purge-lease", "0"))
+        if lease < self.lease:  # of whoever delivered before: it was stopped, and knows nothing of the next
+            return _head(409, {"X-Purge-Lease-Seen": str(self.lease)}, b"")
+        self.lease = lease
         number, older = int(fields["x-purge-number"]), int(fields["x-purge-older-ms"]) * 1000
         kind, vhost = fields["x-purge-kind"], fields.get("x-purge-vhost", "")
         marks = _marks(kind, tuple(fields["x-purge-values"].split()), vhost)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,604 @@
+"""Leases: keepers' votes, claimants' rounds, numbers on disk, lines, and processes with faults."""
+
+import json
+import random
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+
+import anyio
+import pytest
+from click.testing import CliRunner
+
+from quartzrouter.cli.main import cli
+from quartzrouter.explore import leases as model
+from quartzrouter.explore.leases import FINE, Bounds, LeaseModel
+from quartzrouter.explore.search import explore
+from quartzrouter.keeper.claims import Claims
+from quartzrouter.keeper.numbers import Foreign, Numbers
+from quartzrouter.keeper.serve import Service
+from quartzrouter.leases import words
+from quartzrouter.leases.claim import Claim, Gained, Lost
+from quartzrouter.leases.keeper import Keeper
+from quartzrouter.leases.terms import Answer, Free, Number, Refusal, Terms, Vote
+from quartzrouter.leases.views import held, shown, why
+from quartzrouter.ledger.deliver import Courier
+from quartzrouter.ledger.serve import Ledger
+from quartzrouter.net import serve as net
+from quartzrouter.net.report import Report
+from quartzrouter.purges.courier import Delivery
+from quartzrouter.purges.words import Purge
+from quartzrouter.rehearse.leases import DRAWN, SCENES, UNCHECKED, drawn, killed, play
+from quartzrouter.sharing.budget import Ask as AskShare
+from quartzrouter.sharing.budget import Budget
+from quartzrouter.stand import checks, guards
+from quartzrouter.stand.history import Event, History
+from quartzrouter.standin import boxes
+from quartzrouter.standin.disk import FaultyDisk
+from quartzrouter.standin.loopback import Server
+
+S = 1_000_000
+TERMS = Terms(("k0", "k1", "k2"), tasks=(("sweep", ()), ("look", ("b",))))
+LENGTH = TERMS.length
+
+
+def vote(name="a", token="t", round=1, number=1, task="sweep", figures=TERMS.figures, holds=False):
+    return Vote(task, name, token, round, number, figures, holds)
+
+
+def keeper(now=0, **other):
+    return Keeper(TERMS, "k0", now - 2 * LENGTH, **other)
+
+
+# -- keepers -------------------------------------------------------------------------------------------------
+
+
+def test_a_keeper_votes_for_one_until_its_vote_runs_out():
+    made = keeper()
+    assert made.vote(vote(), 0).given
+    no = made.vote(vote("b", number=5), LENGTH // 2)
+    assert not no.given and no.left == LENGTH // 2 and no.holder == "a" and no.highest == 1
+    assert made.vote(vote(round=2, holds=True), LENGTH // 2).given  # it goes on with it
+    assert not made.vote(vote("b", number=5), LENGTH).given
+    assert made.vote(vote("b", number=5), LENGTH * 3 // 2).given
+    assert not made.vote(vote(round=3, number=4), 3 * LENGTH).given  # a lower number than one it voted for
+
+
+def test_a_keeper_that_has_just_begun_votes_for_nobody_and_hears_numbers_of_holders():
+    made = Keeper(TERMS, "k0", 0)
+    no = made.vote(vote(number=7, holds=True), LENGTH)
+    assert not no.given and 0 < no.left <= TERMS.slack(LENGTH) and no.holder == ""
+    free = TERMS.silent(0)
+    assert not made.vote(vote("b", number=7), free).given  # the number was another's
+    assert made.vote(vote("b", number=8), free).given
+
+
+def test_a_vote_that_is_given_up_is_free_at_once_and_a_late_word_on_it_undoes_nothing():
+    made = keeper()
+    made.vote(vote(number=3), 0)
+    for name in "bcd":
+        made.vote(vote(name, number=1), 0)
+    assert made.free(Free("sweep", "a", "other", 3), 1) == () == made.free(Free("sweep", "a", "t", 2), 1)
+    assert made.free(Free("sweep", "a", "t", 3), 1) == ("b", "c")  # few are told: one gets it
+    assert made.vote(vote("b", number=4), 2).given
+    assert made.free(Free("sweep", "a", "t", 3), 3) == () and not made.vote(vote("c", number=9), 3).given
+
+
+@pytest.mark.parametrize(
+    "said,place",
+    [
+        (vote(figures=1), "figures"), (vote(task="none"), "task"), (vote(name=""), "name"),
+        (vote(name="x" * 65), "name"), (vote(token="x" * 65), "token"), (vote(number=0), "number"),
+        (vote(number=1 << 60), "number"), (vote(round=-1), "number"),
+    ],
+)  # fmt: skip
+def test_odd_words_are_refused_and_counted(said, place):
+    made = keeper()
+    found = made.vote(said, 0)
+    assert isinstance(found, Refusal) and found.place == place and made.told(0).refused == 1
+
+
+def test_an_operator_takes_a_task_from_its_holder():
+    made = keeper()
+    made.vote(vote(number=2), 0)
+    assert made.shun("sweep", 1) == "a" and made.shun("look", 1) == ""
+    assert not made.vote(vote(round=2, number=2, holds=True), 2).given
+    assert made.vote(vote("b", number=3), LENGTH).given
+    assert made.vote(vote(round=3, number=9), 4 * LENGTH).given  # later it may have it again
+
+
+def test_the_list_of_keepers_changes_by_one_at_a_time():
+    made, four = keeper(), Terms(("k0", "k1", "k2", "k3"), 2, tasks=TERMS.tasks)
+    five = Terms(("k0", "k1", "k2", "k3", "k4"), 3, tasks=TERMS.tasks)
+    all_ = {"k1": 1, "k2": 1}
+    assert (
+        made.next(five._replace(version=2) if hasattr(five, "_replace") else five, all_, 0).place == "keepers"
+    )
+    assert "k2 may not" in made.next(four, {"k1": 1}, 0).reason
+    assert made.next(Terms(("k1", "k2", "k3"), 2), all_, 0).reason == "k0 is not among them"
+    assert made.next(Terms(TERMS.keepers, 1, length=9), all_, 0).place == "length"
+    assert made.next(four, all_, 0) is None and made.terms == four
+    assert made.vote(vote(), 0).place == "figures"  # claimants of the old list are refused
+    assert made.next(five, {"k1": 2, "k2": 1, "k3": 2}, 0).reason.startswith("k2 may not")
+    assert made.next(five, {"k1": 2, "k2": 2, "k3": 2}, 0) is None
+
+
+# -- claimants -----------------------------------------------------------------------------------------------
+
+
+class Three:
+    """Three keepers and some claimants that are heard at once."""
+
+    def __init__(self, *names):
+        self.now, self.wall = 10 * S, 1_000
+        self.keepers = [Keeper(TERMS, name, 0) for name in TERMS.keepers]
+        self.claims = [Claim(TERMS, "sweep", name, f"t-{name}", self.now) for name in names]
+        self.log = []
+        self.deaf = set()
+
+    def do(self, claim, effects):
+        for effect in effects:
+            if isinstance(effect, (Gained, Lost)):
+                self.log.append((claim.name, type(effect).__name__))
+                continue
+            for made in self.keepers:
+                if (claim.name, made.name) in self.deaf:
+                    continue
+                if isinstance(effect.said, Free):
+                    for name in made.free(effect.said, self.now):
+                        next(each for each in self.claims if each.name == name).freed(self.now)
+                elif isinstance(answer := made.vote(effect.said, self.now), Answer):
+                    self.do(claim, claim.answer(answer, self.now))
+
+    def pass_(self, time):
+        until = self.now + time
+        while self.now < until:
+            self.now = min(until, self.now + 10_000)
+            for claim in self.claims:
+                self.do(claim, claim.tick(self.now, self.wall))
+
+    def holders(self):
+        return [claim.name for claim in self.claims if claim.held(self.now)]
+
+
+def test_one_holds_goes_on_and_hands_over_at_once():
+    three = Three("a", "b", "c")
+    three.pass_(LENGTH)
+    (first,) = three.holders()
+    three.pass_(10 * LENGTH)
+    assert three.holders() == [first] and len(three.log) == 1  # others don't unseat one that works
+    holder = next(claim for claim in three.claims if claim.name == first)
+    three.do(holder, holder.release(three.now))
+    three.pass_(50_000)
+    (second,) = three.holders()
+    assert second != first and [what for _, what in three.log] == ["Gained", "Lost", "Gained"]
+
+
+def test_one_that_is_cut_off_ends_before_another_begins():
+    three = Three("a", "b")
+    three.pass_(LENGTH)
+    (first,) = three.holders()
+    numbers = [claim.number for claim in three.claims if claim.name == first]
+    three.deaf = {(first, name) for name in TERMS.keepers}
+    seen = []
+    for _ in range(2 * LENGTH // 10_000):
+        three.pass_(10_000)
+        seen.append(tuple(three.holders()))
+    assert all(len(each) <= 1 for each in seen) and seen[0] == (first,) and seen[-1] != (first,)
+    empty = seen.count(()) * 10_000
+    assert LENGTH // 8 <= empty <= LENGTH * 3 // 4
+    assert next(claim.number for claim in three.claims if claim.held(three.now)) > numbers[0]
+
+
+def test_a_minority_of_keepers_matters_not():
+    three = Three("a")
+    three.deaf = {("a", "k1")}
+    three.pass_(3 * LENGTH)
+    assert three.holders() == ["a"]
+    three.deaf.add(("a", "k2"))
+    three.pass_(2 * LENGTH)
+    assert three.holders() == [] and three.log[-1] == ("a", "Lost")
+
+
+def test_all_keepers_restarted_without_folders_grant_higher_numbers_after_a_lease():
+    three = Three("a")
+    three.pass_(LENGTH)
+    number = three.claims[0].number
+    three.keepers = [Keeper(TERMS, name, three.now) for name in TERMS.keepers]
+    three.claims = [Claim(TERMS, "sweep", "b", "t-b", three.now)]
+    began = three.now
+    while not three.holders():
+        three.pass_(10_000)
+    assert three.now - began >= LENGTH
+    three.wall = 500  # and where the clock was set back, whoever is acted on says so
+    claim = three.claims[0]
+    claim.number = number - 1
+    three.do(claim, claim.passed(number, three.now))
+    three.pass_(2 * LENGTH)
+    assert three.holders() == ["b"] and claim.number > number
+
+
+def test_one_that_fails_leaves_the_task_to_another():
+    three = Three("a", "b")
+    three.pass_(LENGTH)
+    (first,) = three.holders()
+    holder = next(claim for claim in three.claims if claim.name == first)
+    three.do(holder, holder.failed(three.now))
+    three.pass_(LENGTH)
+    assert three.holders() not in ([], [first])
+    assert holder.due > three.now - LENGTH // 2
+
+
+def test_the_preferred_come_first():
+    prefers = Terms(TERMS.keepers, tasks=(("sweep", ("b",)),))
+    plain = Claim(prefers, "sweep", "a", "t", 0)
+    preferred = Claim(prefers, "sweep", "b", "t", 0)
+    assert plain.due >= LENGTH // 2 > preferred.due
+
+
+def test_many_claimants_ask_a_bounded_number_of_times():
+    three = Three(*(f"c{n}" for n in range(60)))
+    three.pass_(3 * LENGTH)
+    asked = sum(claim.round for claim in three.claims)
+    assert len(three.holders()) == 1 and asked <= 60 * 5
+
+
+# -- the model -----------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("case", ["a holder stopped ahead of its act", "one name, two processes"])
+def test_leases_hold_in_all_states(case):
+    found = explore(LeaseModel(model.PLAYED[case]), 60_000, 60)
+    assert found.whole and not found.broken, found.shown()
+
+
+def _old_answers(self, said, now, answer=Claim.answer):
+    return answer(self, said._replace(round=self.round), now)
+
+
+def _frees_all(self, said, now, free=Keeper.free):
+    ballot = self.ballots.get(said.task)
+    return free(self, said._replace(number=ballot.number) if ballot else said, now)
+
+
+def _any_number(self, said, now, vote=Keeper.vote):
+    if said.task in self.ballots:
+        self.ballots[said.task].highest = 0
+    return vote(self, said, now)
+
+
+LATE, ONCE = ("late back",), Bounds(steps=1, asks=3, faults=0)
+TAKEN_OUT = {
+    "a keeper votes right after its start": (None, Bounds(steps=1, asks=3, faults=0, falls=2)),
+    "a lease counts from its answers": (None, Bounds(steps=5, asks=3, faults=2, ways=LATE)),
+    "the drift is left out": (None, Bounds(steps=17, step=FINE, asks=3, faults=0)),
+    "half of the keepers will do": (None, Bounds(steps=1, asks=2, faults=2, keepers=4)),
+    "a keeper votes for all": (None, ONCE),
+    "a name is enough": (None, Bounds(steps=1, asks=2, faults=0, same=True)),
+    "a holder looks at no clock": (
+        (Claim, "held", lambda self, now: self.holding), Bounds(steps=6, asks=3, faults=0, stops=1),
+    ),
+    "answers to older asks count": (
+        (Claim, "answer", _old_answers), Bounds(steps=3, asks=2, faults=2, ways=LATE),
+    ),
+    "a late word frees a later vote": (
+        (Keeper, "free", _frees_all), Bounds(steps=2, asks=4, faults=2, releases=1, ways=("late there",)),
+    ),
+    "a keeper takes any number": ((Keeper, "vote", _any_number), Bounds(steps=5, asks=2, faults=0)),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("guard", TAKEN_OUT)
+def test_a_guard_taken_out_breaks_the_model(guard, monkeypatch):
+    told, bounds = TAKEN_OUT[guard]
+    monkeypatch.setattr(*(told or guards.LEASES[guard]))
+    assert explore(LeaseModel(bounds), 60_000, 60).broken
+
+
+def test_acts_fall_in_number_where_nobody_checks():
+    bounds = Bounds(steps=6, asks=3, faults=0, stops=1, acts=1)
+    assert explore(LeaseModel(bounds, checks=False), 60_000, 60).broken
+    assert not explore(LeaseModel(bounds), 60_000, 60).broken
+
+
+# -- numbers on a disk ---------------------------------------------------------------------------------------
+
+
+def test_numbers_are_found_again_and_damage_is_named_and_passed_over(tmp_path):
+    said = []
+    kept = {"sweep": Number(7, "a", "t"), "look": Number(1 << 50, "b", "u")}
+    Numbers(str(tmp_path), "k0", said.append).write(kept)
+    assert Numbers(str(tmp_path), "k0", said.append).found == kept and not said
+    path = tmp_path / "numbers"
+    whole = path.read_bytes()
+    for cut in range(len(whole)):
+        path.write_bytes(whole[:cut])
+        assert Numbers(str(tmp_path), "k0", said.append).found == {}
+    assert len(said) == len(whole)
+    taken = 0
+    for bit in range(8 * len(whole)):
+        flipped = bytearray(whole)
+        flipped[bit // 8] ^= 1 << bit % 8
+        path.write_bytes(flipped)
+        try:
+            found = Numbers(str(tmp_path), "k0", said.append).found
+        except Foreign:  # the name was struck
+            continue
+        assert found in ({}, kept)  # a flipped letter of a key that nobody reads
+        taken += found == kept
+    assert taken < 8
+    path.write_bytes(whole)
+    with pytest.raises(Foreign, match="k0's; give k1 a folder of its own"):
+        Numbers(str(tmp_path), "k1", said.append)
+
+
+def test_no_vote_is_given_that_the_disk_does_not_keep(tmp_path):
+    said = []
+    numbers = Numbers(str(tmp_path), "k0", said.append)
+    service = Service(TERMS, "k0", Report("k0", net.clock), numbers, lambda: 100 * S)
+    service.keeper.from_ = 0
+
+    def fails(found):
+        raise OSError(28, "No space left on device")
+
+    async def asked():
+        return await service._hear(words.Votes((vote(),)), None, set())
+
+    numbers.write = fails
+    assert anyio.run(asked).answers == ()
+    del numbers.write
+    assert anyio.run(asked).answers[0].given
+    assert Numbers(str(tmp_path), "k0", said.append).found["sweep"].number == 1
+
+
+# -- over sockets --------------------------------------------------------------------------------------------
+
+
+class KeeperHere(Server):
+    def __init__(self, name, terms):
+        self.service = Service(terms, name, Report(name, net.clock))
+        self.service.keeper.from_ = 0
+
+    async def serve(self, stream):
+        await self.service.serve(stream)
+
+
+def over_sockets(scene, names=("a", "b"), length=600_000):
+    terms = Terms(("k0", "k1", "k2"), length=length, tasks=(("sweep", ()),))
+
+    async def main():
+        with anyio.fail_after(30):
+            async with anyio.create_task_group() as tasks:
+                keepers = {name: KeeperHere(name, terms) for name in terms.keepers}
+                for each in keepers.values():
+                    await each.start(tasks)
+                addresses = {name: ("127.0.0.1", each.port) for name, each in keepers.items()}
+                claims = [Claims(terms, addresses, name, Report(name, net.clock)) for name in names]
+                for each in claims:
+                    tasks.start_soon(each.run)
+                await scene(tasks, keepers, claims)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main, backend_options=net.LOOP)
+
+
+def test_a_task_goes_to_another_within_milliseconds_once_its_work_has_ended():
+    done = []
+
+    async def scene(tasks, keepers, claims):
+        async def work(claimer, hold):
+            done.append((claimer, "begins"))
+            try:
+                await anyio.sleep_forever()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await anyio.sleep(0.05)
+                done.append((claimer, "ends"))
+
+        for each in claims:
+            tasks.start_soon(each.perform, "sweep", lambda hold, name=each.name: work(name, hold))
+        while not done:
+            await anyio.sleep(0.01)
+        first = next(each for each in claims if each.name == done[0][0])
+        await anyio.sleep(0.7)  # it goes on with it, and the other has been turned away
+        await first.release()
+        while len(done) < 3:
+            await anyio.sleep(0.005)
+
+    over_sockets(scene)
+    assert done[1] == (done[0][0], "ends") and done[2][0] != done[0][0]
+
+
+def test_work_that_raises_costs_the_task_and_no_traceback():
+    began = []
+
+    async def scene(tasks, keepers, claims):
+        async def fails(hold):
+            began.append("a")
+            raise ValueError("no")
+
+        async def works(hold):
+            began.append("b")
+            await anyio.sleep_forever()
+
+        tasks.start_soon(claims[0].perform, "sweep", fails)
+        while not began:
+            await anyio.sleep(0.01)
+        tasks.start_soon(claims[1].perform, "sweep", works)
+        while began[-1] != "b":
+            await anyio.sleep(0.01)
+
+    over_sockets(scene)
+
+
+def test_what_a_keeper_can_not_read_is_answered_and_ends_the_line():
+    async def scene(tasks, keepers, claims):
+        for sent in (b"hello\n", b'{"say":"votes","votes":[["x"]]}\n', b'{"say":"votes"' + b" " * 300_000):
+            async with await anyio.connect_tcp("127.0.0.1", keepers["k0"].port) as stream:
+                await stream.send(sent)
+                said = json.loads(await stream.receive())
+                assert said["say"] == "unheard" and "docs/leases.md" in said["remedy"]
+
+    over_sockets(scene)
+
+
+PLAN = """{
+  deployment: { name: "t", home: "north" }, stores: { north: { hub: "h" } }, hubs: { h: {} },
+  caches: { n: { address: "127.0.0.1:1", at: "north" } },
+  vhosts: { page: { effect: "replayable", client_timeout: 3s } }, pools: { near: {} },
+  purges: { ledgers: "127.0.0.1:7700" },
+  leases: { keepers: { k0: "127.0.0.1:%d", k1: "127.0.0.1:%d" }, tasks: { sweep: {} } },
+  routes: { all: { match: {}, vhost: "page", pool: "near" } },
+}"""
+
+
+def test_operators_see_why_nobody_holds_a_task(tmp_path):
+    path = tmp_path / "main.plan"
+    path.write_text(PLAN % (1, 2))
+    run = CliRunner().invoke
+    listed = run(cli, ["lease", "list", str(path), "--json"])
+    assert listed.exit_code == 1 and set(json.loads(listed.output)["silent"]) == {"k0", "k1"}
+    said = run(cli, ["lease", "why", str(path), "sweep"]).output
+    assert "0 of 2 keepers answer, 2 are needed: start them" in said
+    assert "there are sweep" in run(cli, ["lease", "why", str(path), "other"]).output
+    refused = run(cli, ["purge", "deliver", str(path), "--task", "other", "--name", "a"])
+    assert refused.exit_code == 1 and ".plan:6" in refused.output and "there are sweep" in refused.output
+    refused = run(cli, ["keeper", "run", str(path), "--name", "k7"])
+    assert refused.exit_code == 1 and "there is no keeper 'k7'; there are k0, k1" in refused.output
+
+
+def test_views_tell_holders_from_what_all_keepers_say():
+    made = {name: keeper() for name in TERMS.keepers}
+    for name, each in made.items():
+        each.name = name
+        each.vote(vote(number=4), 0)
+        each.vote(vote("b", number=2), 1)
+    found = {name: each.told(S) for name, each in made.items()}
+    view, free = held(TERMS, found)
+    assert (view.task, view.holder, view.number, view.votes, view.waiting) == ("sweep", "a", 4, 3, ("b",))
+    assert "a, number 4" in shown(view) and free.holder == "" and "nobody" in shown(free)
+    assert "nobody asks for it" in why(TERMS, found, "look")[-1]
+    found["k1"] = found["k2"] = "ConnectionRefusedError"
+    assert "1 of 3 keepers answer" in why(TERMS, found, "sweep")[-1]
+
+
+# -- processes -----------------------------------------------------------------------------------------------
+
+
+def acts(*events):
+    made = History()
+    made.events = [Event(at, what, who, {"number": number}) for at, what, who, number in events]
+    return made
+
+
+def test_checkers_tell_overlaps_from_acts_that_were_broken_off():
+    both = acts((0, "begin", "a", 1), (5, "begin", "b", 2), (9, "finish", "a", 1), (12, "finish", "b", 2))
+    assert len(checks.overlaps(both, 100)) == 1 and not checks.falls(both)
+    stopped = acts((0, "begin", "a", 1), (2, "stop", "a", 0), (5, "begin", "b", 2))
+    assert not checks.overlaps(stopped, 100) and not checks.overlaps(both, 4)
+    one = acts((0, "begin", "a", 2), (1, "finish", "a", 2), (3, "begin", "b", 1), (4, "finish", "b", 1))
+    assert not checks.overlaps(one, 100) and len(checks.falls(one)) == 1
+    assert checks.pauses(one, 0, 10) == [0, 2, 6]
+
+
+def _played(seed):
+    chance = random.Random(seed)
+    seen = play(chance, DRAWN, drawn(chance, DRAWN, 26))
+    return len(seen.overlaps), len(seen.falls), seen.faults, seen.acts
+
+
+def _killed(guard):
+    there, out = killed(1, guard)
+    return there.broken, out.broken
+
+
+@pytest.fixture(scope="module")
+def pool():
+    with ProcessPoolExecutor(4, mp_context=get_context("spawn")) as made:
+        yield made
+
+
+@pytest.fixture(scope="module")
+def found(pool):
+    """All plays at once: each takes some seconds, most of which it waits."""
+    play_ = pool.submit(_played, 1)
+    return play_, {guard: pool.submit(_killed, guard) for guard in PLAYED_HERE}
+
+
+PLAYED_HERE = ("half of the keepers will do", "a keeper votes for all", UNCHECKED)
+
+
+def test_five_keepers_and_six_claimants_have_one_holder_through_faults_of_all_kinds(found):
+    overlaps, falls, faults, done = found[0].result(120)
+    assert (overlaps, falls, faults) == (0, 0, ()) and done > 200
+
+
+@pytest.mark.parametrize("guard", PLAYED_HERE)
+def test_a_guard_taken_out_of_processes_is_seen_by_the_witness(found, guard):
+    assert guard in SCENES and found[1][guard].result(120) == (False, True)
+
+
+# -- tasks on it ---------------------------------------------------------------------------------------------
+
+
+class HeldBy:
+    """A hold by hand."""
+
+    def __init__(self, number, holds=True):
+        self.number, self.holds, self.told = number, holds, []
+
+    def held(self):
+        return self.holds
+
+    def passed(self, number):
+        self.told.append(number)
+
+
+def test_a_cache_refuses_a_courier_whose_lease_is_over():
+    # A courier that was stopped ahead of a purge, and wakes behind another's lease.
+    told = {}
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            box = boxes.Box("n", {}, random.Random(1))
+            await box.start(tasks)
+            holds = {"old": HeldBy(4), "new": HeldBy(7), "ended": HeldBy(9, False)}
+            for name in ("old", "new", "old", "ended"):
+                at, report = ("127.0.0.1", box.port), Report("c", net.clock)
+                courier = Courier("n", at, [("127.0.0.1", 1)], 300_000, report, 500.0, holds[name])
+                await courier._deliver(Delivery(Purge(len(told) + 1, 1, "object", ("a",)), 0))
+                told[len(told)] = (name, box.lease, len(box.applied) + box.reached)
+            told["passed"] = {name: hold.told for name, hold in holds.items()}
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main, backend_options=net.LOOP)
+    assert [told[n] for n in range(4)] == [("old", 4, 1), ("new", 7, 2), ("old", 7, 2), ("ended", 7, 2)]
+    assert told["passed"] == {"old": [7], "new": [], "ended": []}
+
+
+def test_a_granter_starts_anew_under_each_lease_and_grants_under_none_without():
+    now, number = [100 * S], [0]
+    budget = Budget("calls", rate=50.0, burst=20.0, floors=0.2, routers=4)
+
+    async def made():
+        told = {"budgets": [budget], "steady": lambda: now[0], "may_grant": lambda: number[0]}
+        return Ledger(FaultyDisk(), 300_000, Report("l", net.clock), **told)
+
+    ledger = anyio.run(made)
+
+    def granted(token):
+        if not ledger._grants():
+            return None
+        now[0] += S
+        said = AskShare("calls", "r", token, 1, want=50.0, figures=budget.figures)
+        return ledger.granter.ask(said, now[0]).tokens
+
+    assert granted("a") is None
+    number[0] = 5
+    assert granted("b") > 10  # filled for a second
+    number[0] = 0
+    assert granted("c") is None
+    now[0] += 60 * S
+    number[0] = 8
+    before = ledger.granter
+    assert 0 < granted("d") <= 0.8 * 50 and ledger.granter is not before  # not for a minute
+    assert granted("e") >= 0 and ledger.granter is not before
