--- a/quartzrouter/rehearse/leases.py
+++ b/quartzrouter/rehearse/leases.py
@@ -4,6 +4,7 @@
 processes were stopped and killed, never what a process believes.
 """
 
+import json
 import random
 import signal
 import tempfile
@@ -21,6 +22,7 @@
 from quartzrouter.rehearse import Tally
 from quartzrouter.stand import checks, schedule
 from quartzrouter.stand.fleet import Clocks, Fleet
+from quartzrouter.stand.linear import fenced, linear, ops_of
 from quartzrouter.stand.links import Link, Way
 from quartzrouter.stand.schedule import Fault
 from quartzrouter.stand.witness import Witness
@@ -79,6 +81,7 @@
         self.keepers, self.claimants = [], []
         self.keeper_ports: list[int] = []
         self.ways_of: dict[str, list[Link]] = {}  # of a claimant, to each keeper
+        self.acting: dict[str, Link] = {}  # of a claimant, to the witness
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         shape = self.shape
@@ -99,12 +102,23 @@
             name = shape.names[n] if shape.names else f"c{n}"
             plan = self.plan([f"127.0.0.1:{link.port}" for link in links])
             clocks = self._clocks(shape.slow and (shape.slow if n == 0 else -shape.slow))
-            told = (f"c{n}", name, plan, TASK, self.witness.port, clocks, self.out)
+            acting = Link(("127.0.0.1", self.witness.port), self.chance, tap=partial(self._tap, f"c{n}"))
+            await acting.start(tasks)
+            self.acting[f"c{n}"] = acting
+            told = (f"c{n}", name, plan, TASK, acting.port, clocks, self.out)
             self.claimants.append(self.add_claimant(*told))
         await self.vote()
         for party in self.claimants:
             party.start()
 
+    def _tap(self, who: str, down: bool, line: bytes) -> None:
+        """What passes between a claimant and the witness."""
+        said = json.loads(line)
+        if down:
+            self.history.add("back", who, answer=said)
+        else:
+            self.history.add("call", who, number=said[2])
+
     def _clocks(self, fast: int | None) -> Clocks:
         drift = self.shape.drift
         return Clocks(
@@ -167,6 +181,14 @@
         for way in self.ways(fault.who):
             way.spoil = self.shape.spoil
 
+    async def _behind(self, fault: Fault) -> None:
+        """Acts of one claimant and their answers are late on their way."""
+        for way in self.acting[fault.who].ways:
+            way.late = fault.much
+        await anyio.sleep(fault.lasts / 1000)
+        for way in self.acting[fault.who].ways:
+            way.late = 0.0
+
     async def _reset(self, fault: Fault) -> None:
         for link in self.links_of(fault.who):
             link.reset()
@@ -240,6 +262,7 @@
         "late": (claimants, (500, 3_000), (0.02, length / 4_000, length / 1_500)),
         "spoil": (claimants, (500, 3_000), (0.3, 0.6)),
         "reset": (claimants, (0, 0), (0,)),
+        "behind": (claimants, (500, 3_000), (0.01, 0.2)),
         "stop": ([*claimants, *keepers], (100, 2 * length), (0,)),
         "kill": (keepers, (50, 800), (0, 0, 1)),
         "jump": ([*claimants, *keepers], (500, 3_000), (-10, -1, 1, 10)),
@@ -275,6 +298,10 @@
     def falls(self) -> list:
         return checks.falls(self.fleet.history)
 
+    @property
+    def linear(self) -> bool | None:
+        return linear(ops_of(self.fleet.history), fenced, 0)
+
     @property
     def acts(self) -> int:
         return len(checks.acts(self.fleet.history))
@@ -349,6 +376,10 @@
     for word, pairs in (("while", seen.overlaps), ("after", seen.falls)):
         for one, act in pairs[:3]:
             tally.expect(False, f"{act.who} acts under {act.number} {word} {one.who} under {one.number}")
+    tally.expect(seen.linear is not False, "answers that no order of acts explains")
+    tally.figures["acts and answers in an order"] = {True: "yes", False: "no", None: "not found out"}[
+        seen.linear
+    ]
     tally.expect(not seen.faults, f"faults: {seen.faults[:1]}")
     tally.figures["faults, keepers, claimants"] = f"{len(faults)}, {shape.keepers}, {shape.claimants}"
     found = checks.acts(history)
--- a/quartzrouter/stand/checks.py
+++ b/quartzrouter/stand/checks.py
@@ -81,11 +81,15 @@
 
 @dataclass
 class Act:
-    """An act that its witness took: us of its begin and end, None where no end came."""
+    """An act that its witness took: us of its begin and end, None where no end came.
+
+    :param called: us when its word left its process; it may be late on its way.
+    """
 
     who: str
     number: int
     began: int
+    called: int
     ended: int | None = None
 
 
@@ -93,9 +97,13 @@
     """All that a witness took, in their order."""
     found: list[Act] = []
     under_way: dict[str, Act] = {}
-    for event in history.of("begin", "finish"):
-        if event.what == "begin":
-            under_way[event.who] = Act(event.who, event.told["number"], event.at)
+    called: dict[str, int] = {}
+    for event in history.of("call", "begin", "finish"):
+        if event.what == "call":
+            called[event.who] = event.at
+        elif event.what == "begin":
+            left = called.get(event.who, event.at)
+            under_way[event.who] = Act(event.who, event.told["number"], event.at, left)
             found.append(under_way[event.who])
         elif (act := under_way.pop(event.who, None)) and act.number == event.told["number"]:
             act.ended = event.at
@@ -107,7 +115,8 @@
 
     Whoever is stopped in the middle of an act can't end it; what it says afterwards is refused by its number.
 
-    :param most: us that an act may take; one that takes longer had no CPU, which is a stop as well.
+    :param most: us that an act may take; one that takes longer had no CPU, which is a stop as well, or was
+        late on its way.
     """
     halted: dict[str, list[int]] = {}
     for event in history.of("stop", "kill"):
@@ -118,7 +127,7 @@
         for each in open_:
             halts = halted.get(each.who, ())
             broken_off = any(each.began - HALT <= at <= act.began for at in halts)
-            if each.who != act.who and not broken_off and act.began - each.began <= most:
+            if each.who != act.who and not broken_off and act.began - each.called <= most:
                 found.append((each, act))
         open_ = [act]
     return found
--- /dev/null
+++ b/quartzrouter/stand/linear.py
@@ -0,0 +1,98 @@
+"""Whether what clients were answered could have come from one party that took one op after the other.
+
+Wing and Gong's search with Lowe's memo: an op may come next if it was called before any op that is still to
+come had its answer; a set of ops that are over and a state that were seen once aren't looked at again.  Ops
+without an answer may have taken effect at any time after their call, or never.
+"""
+
+from collections.abc import Callable, Hashable, Sequence
+from typing import NamedTuple
+
+from quartzrouter.stand.history import History
+
+STATES_MOST = 200_000  # looked at; beyond, nothing is known
+
+
+class Op(NamedTuple):
+    """:param called: us when the client's word passed.
+    :param back: us when the answer did; None: none came.
+    :param what: of it, for the spec.
+    :param answer: None where none came.
+    """
+
+    called: int
+    back: int | None
+    what: tuple
+    answer: tuple | None
+
+
+# state, what -> the state after it and the answer
+Spec = Callable[[Hashable, tuple], tuple[Hashable, tuple]]
+
+
+def linear(ops: Sequence[Op], spec: Spec, state: Hashable) -> bool | None:
+    """Whether there is an order; None where that isn't found out within bounds."""
+    ops = sorted(ops, key=lambda op: op.called)
+    never = max((op.back or op.called for op in ops), default=0) + 1
+    ends = [never if op.back is None else op.back for op in ops]
+    done = sum(1 << n for n, op in enumerate(ops) if op.back is None)  # those may stay out
+    whole = (1 << len(ops)) - 1
+    seen: set[tuple[int, Hashable]] = set()
+    todo = [(0, 0, state)]
+    while todo:
+        over, first, now = todo.pop()
+        if over | done == whole:
+            return True
+        while over >> first & 1:
+            first += 1
+        if (over, now) in seen:
+            continue
+        seen.add((over, now))
+        if len(seen) > STATES_MOST:
+            return None
+        soonest = min(ends[n] for n in _near(ops, ends, over, first))
+        for n in range(first, len(ops)):
+            if ops[n].called > soonest:
+                break
+            if over >> n & 1:
+                continue
+            after, answer = spec(now, ops[n].what)
+            if ops[n].answer is None or ops[n].answer == answer:
+                todo.append((over | 1 << n, first, after))
+    return False
+
+
+def _near(ops: Sequence[Op], ends: Sequence[int], over: int, first: int) -> list[int]:
+    """Ops still to come, up to one that is called after another of them has ended: later ones end later."""
+    found, soonest = [], None
+    for n in range(first, len(ops)):
+        if over >> n & 1:
+            continue
+        if soonest is not None and ops[n].called > soonest:
+            break
+        found.append(n)
+        soonest = ends[n] if soonest is None else min(soonest, ends[n])
+    return found
+
+
+def fenced(seen: int, what: tuple) -> tuple[int, tuple]:
+    """The spec of whoever is acted on: a number lower than one that has acted is refused."""
+    (number,) = what
+    return (seen, ("no", seen)) if number < seen else (number, ("yes", number))
+
+
+def ops_of(history: History) -> list[Op]:
+    """What passed between claimants and their witness, one op of each at a time."""
+    found: list[Op] = []
+    open_: dict[str, tuple[int, tuple]] = {}
+    for event in history.of("call", "back"):
+        if event.what == "call":
+            if before := open_.pop(event.who, None):  # its line has ended without an answer
+                found.append(Op(before[0], None, before[1], None))
+            open_[event.who] = (event.at, (event.told["number"],))
+        elif event.who in open_ and event.told["answer"][0] != "fails":
+            called, what = open_.pop(event.who)
+            found.append(Op(called, event.at, what, tuple(event.told["answer"])))
+        else:
+            open_.pop(event.who, None)  # what failed has changed nothing
+    return found + [Op(called, None, what, None) for called, what in open_.values()]
--- a/quartzrouter/stand/links.py
+++ b/quartzrouter/stand/links.py
@@ -1,7 +1,7 @@
 """Links on loopback that misbehave, each way by itself: held, late, reset; lines lost, doubled, swapped."""
 
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import anyio
@@ -35,10 +35,14 @@
 
     :param to: the server's address.
     :param by_line: what passes is lines, which can be spoilt one by one; else bytes.
+    :param tap: is told of each piece as it comes from a client, and as it goes to one: then with True.
     """
 
-    def __init__(self, to: tuple[str, int], chance: random.Random, by_line: bool = True):
-        self.to, self.chance, self.by_line = to, chance, by_line
+    def __init__(
+        self, to: tuple[str, int], chance: random.Random, by_line: bool = True,
+        tap: Callable[[bool, bytes], None] = lambda down, piece: None,
+    ):  # fmt: skip
+        self.to, self.chance, self.by_line, self.tap = to, chance, by_line, tap
         self.up, self.down = Way(), Way()  # to the server, to the client
         self.open: set[anyio.CancelScope] = set()
         self.port = 0
@@ -98,6 +102,8 @@
         async def read() -> None:
             async with give:
                 async for piece in self._pieces(source, way):
+                    if way is self.up:
+                        self.tap(False, piece)
                     await give.send((anyio.current_time() + way.late, piece))
 
         try:
@@ -106,6 +112,8 @@
                 async for due, piece in take:
                     await anyio.sleep(max(0.0, due - anyio.current_time()))
                     await _opened(way)
+                    if way is self.down:
+                        self.tap(True, piece)
                     await sink.send(piece)
                 tasks.cancel_scope.cancel()
         except* LOST:
--- a/quartzrouter/stand/witness.py
+++ b/quartzrouter/stand/witness.py
@@ -53,7 +53,7 @@
             self.refused += 1
             self.history.add("refuse", who, number=number)
             return ["no", self.seen]
-        if who in self.failing:
+        if who in self.failing and what == "begin":  # what has begun is ended
             return ["fails", 0]
         self.seen = max(self.seen, number)
         self.history.add(what, who, number=number)
