A keeper is added in service by test; faults that both fleets of the stand know are one

Need: the change of one keeper at a time had a test of its decision only. Now three keepers get a fourth over sockets, while a task is held: one that can't be asked stops the change, claimants of the old list lose their lease, those of the new one have it under a higher number.

--- a/quartzrouter/rehearse/leases.py
+++ b/quartzrouter/rehearse/leases.py
@@ -21,9 +21,10 @@
 from quartzrouter.plan.quantity import quantity
 from quartzrouter.rehearse import Tally
 from quartzrouter.stand import checks, schedule
-from quartzrouter.stand.fleet import Clocks, Fleet
+from quartzrouter.stand.faults import Struck
+from quartzrouter.stand.fleet import Clocks
 from quartzrouter.stand.linear import fenced, linear, ops_of
-from quartzrouter.stand.links import Link, Way
+from quartzrouter.stand.links import Link
 from quartzrouter.stand.schedule import Fault
 from quartzrouter.stand.witness import Witness
 
@@ -71,12 +72,12 @@
 DRAWN = Shape()
 
 
-class LeaseFleet(Fleet):
+class LeaseFleet(Struck):
     """Keepers with folders, claimants with a link to each keeper, and a witness of what they do."""
 
     def __init__(self, folder: Path, chance: random.Random, shape: Shape, guards: Sequence[str] = ()):
         super().__init__(folder, chance)
-        self.shape, self.out = shape, [each for each in guards if each != UNCHECKED]
+        self.shape, self.spoil, self.out = shape, shape.spoil, [each for each in guards if each != UNCHECKED]
         self.witness = Witness(self.history, UNCHECKED not in guards)
         self.keepers, self.claimants = [], []
         self.keeper_ports: list[int] = []
@@ -142,45 +143,12 @@
 
     # -- faults --------------------------------------------------------------------------------------------
 
-    def party(self, name: str):
-        return next(each for each in self.parties if each.name == name)
-
     def links_of(self, name: str) -> list[Link]:
         """Of a claimant, as c3, or some of its links, as c3/0,1."""
         claimant, _, keepers = name.partition("/")
         links = self.ways_of[claimant]
         return [links[int(n)] for n in keepers.split(",")] if keepers else links
 
-    def ways(self, name: str) -> list[Way]:
-        return [way for link in self.links_of(name) for way in link.ways]
-
-    async def strike(self, fault: Fault) -> None:
-        """Does it, waits, and mends it."""
-        self.history.add("fault", fault.who, kind=fault.what, lasts=fault.lasts, much=fault.much)
-        await getattr(self, f"_{fault.what}")(fault)
-
-    async def _cut(self, fault: Fault) -> None:
-        """Nothing passes to keepers: both ways, or one (1: to them, 2: from them)."""
-        for link in self.links_of(fault.who):
-            link.up.held, link.down.held = fault.much in (0, 1), fault.much in (0, 2)
-        await anyio.sleep(fault.lasts / 1000)
-        for link in self.links_of(fault.who):
-            link.hold(False)
-
-    async def _late(self, fault: Fault) -> None:
-        for way in self.ways(fault.who):
-            way.late = fault.much
-        await anyio.sleep(fault.lasts / 1000)
-        for way in self.ways(fault.who):
-            way.late = 0.0
-
-    async def _spoil(self, fault: Fault) -> None:
-        for way in self.ways(fault.who):
-            way.spoil = fault.much
-        await anyio.sleep(fault.lasts / 1000)
-        for way in self.ways(fault.who):
-            way.spoil = self.shape.spoil
-
     async def _behind(self, fault: Fault) -> None:
         """Acts of one claimant and their answers are late on their way."""
         for way in self.acting[fault.who].ways:
@@ -189,10 +157,6 @@
         for way in self.acting[fault.who].ways:
             way.late = 0.0
 
-    async def _reset(self, fault: Fault) -> None:
-        for link in self.links_of(fault.who):
-            link.reset()
-
     async def _stop(self, fault: Fault) -> None:
         party = self.party(fault.who)
         party.stop()
@@ -220,14 +184,6 @@
         for party in parties:
             party.start()
 
-    async def _jump(self, fault: Fault) -> None:
-        """The wall clock is set by so many s, and back."""
-        page = self.party(fault.who).page
-        off = page.off
-        page.jump(off + int(fault.much * S))
-        await anyio.sleep(fault.lasts / 1000)
-        page.jump(off)
-
     async def _end(self, fault: Fault) -> None:
         """SIGTERM to a claimant: it hands over."""
         party = self.party(fault.who)
--- a/quartzrouter/rehearse/sharing.py
+++ b/quartzrouter/rehearse/sharing.py
@@ -23,8 +23,9 @@
 from quartzrouter.stand import checks, schedule
 from quartzrouter.stand.asking import Asker
 from quartzrouter.stand.counting import CountingCache
-from quartzrouter.stand.fleet import Clocks, Fleet
-from quartzrouter.stand.links import Link, Way
+from quartzrouter.stand.faults import Struck
+from quartzrouter.stand.fleet import Clocks
+from quartzrouter.stand.links import Link
 from quartzrouter.stand.schedule import Fault
 
 S = 1_000_000
@@ -108,12 +109,12 @@
 DRAWN = Shape()
 
 
-class SharingFleet(Fleet):
+class SharingFleet(Struck):
     """Two ledgers over one folder, the second stands by; routers with a link to each; caches that count."""
 
     def __init__(self, folder: Path, chance: random.Random, shape: Shape, guards: Sequence[str] = ()):
         super().__init__(folder, chance, quantity(shape.grace).us)
-        self.shape, self.guards = shape, guards
+        self.shape, self.spoil, self.guards = shape, shape.spoil, guards
         self.caches: list[CountingCache] = []
         self.askers: list[Asker] = []
         self.budgets: dict[str, Budget] = {}
@@ -207,35 +208,16 @@
 
     # -- faults --------------------------------------------------------------------------------------------
 
-    async def strike(self, fault: Fault) -> None:
-        """Does it, waits, and mends it."""
-        self.history.add("fault", fault.who, kind=fault.what, lasts=fault.lasts, much=fault.much)
-        await getattr(self, f"_{fault.what}")(fault)
-
-    def party(self, name: str):
-        return next(each for each in self.parties if each.name == name)
-
     def links_of(self, name: str) -> list[Link]:
         """Of a router, as r3, or its one link to a ledger, as r3/1."""
         router, _, ledger = name[1:].partition("/")
         return self.links[int(router)] if not ledger else [self.links[int(router)][int(ledger)]]
 
-    def ways(self, name: str) -> list[Way]:
-        return [way for link in self.links_of(name) for way in link.ways]
-
     async def _only(self, fault: Fault) -> None:
         """From now on the crowd comes to these routers only; `all` of them."""
         names = fault.who.split()
         self.awake = set(range(self.shape.routers)) if fault.who == "all" else {int(n[1:]) for n in names}
 
-    async def _cut(self, fault: Fault) -> None:
-        """Nothing passes between a router and the ledgers: both ways, or one (1: to them, 2: from them)."""
-        for link in self.links_of(fault.who):
-            link.up.held, link.down.held = fault.much in (0, 1), fault.much in (0, 2)
-        await anyio.sleep(fault.lasts / 1000)
-        for link in self.links_of(fault.who):
-            link.hold(False)
-
     async def _part(self, fault: Fault) -> None:
         """A router is cut off from one cache, as r3/1, or from all of them, as r3."""
         router, _, cache = fault.who[1:].partition("/")
@@ -261,24 +243,6 @@
         await anyio.sleep(fault.lasts / 1000)
         await cache.start(self.tasks)
 
-    async def _late(self, fault: Fault) -> None:
-        for way in self.ways(fault.who):
-            way.late = fault.much
-        await anyio.sleep(fault.lasts / 1000)
-        for way in self.ways(fault.who):
-            way.late = 0.0
-
-    async def _spoil(self, fault: Fault) -> None:
-        for way in self.ways(fault.who):
-            way.spoil = fault.much
-        await anyio.sleep(fault.lasts / 1000)
-        for way in self.ways(fault.who):
-            way.spoil = self.shape.spoil
-
-    async def _reset(self, fault: Fault) -> None:
-        for link in self.links_of(fault.who):
-            link.reset()
-
     async def _stop(self, fault: Fault) -> None:
         """SIGSTOP; a ledger that wakes finds another in its place, and ends."""
         party = self.party(fault.who)
@@ -306,14 +270,6 @@
             party.arguments[5] = f"127.0.0.1:{self.ledger_ports[1 - n]}" if other.runs else "-"
         party.start()
 
-    async def _jump(self, fault: Fault) -> None:
-        """The wall clock is set by so many s, and back."""
-        page = self.party(fault.who).page
-        off = page.off
-        page.jump(off + int(fault.much * S))
-        await anyio.sleep(fault.lasts / 1000)
-        page.jump(off)
-
     async def _list(self, fault: Fault) -> None:
         """All routers read a plan that lists all caches: those that are new to it have just started."""
         self.unlisted = 0
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -17,6 +17,7 @@
 from quartzrouter.keeper.claims import Claims
 from quartzrouter.keeper.numbers import Foreign, Numbers
 from quartzrouter.keeper.serve import Service
+from quartzrouter.keeper.wire import ask_all
 from quartzrouter.leases import words
 from quartzrouter.leases.claim import Claim, Gained, Lost
 from quartzrouter.leases.keeper import Keeper
@@ -657,3 +658,37 @@
     before = ledger.granter
     assert 0 < granted("d") <= 0.8 * 50 and ledger.granter is not before  # not for a minute
     assert granted("e") >= 0 and ledger.granter is not before
+
+
+def test_a_keeper_is_added_in_service_and_the_task_goes_on():
+    four = Terms(("k0", "k1", "k2", "k3"), 2, 600_000, tasks=(("sweep", ()),))
+    held_by = []
+
+    async def scene(tasks, keepers, claims):
+        async def work(hold):
+            held_by.append(hold.number)
+            await anyio.sleep_forever()
+
+        tasks.start_soon(claims[0].perform, "sweep", work)
+        while not held_by:
+            await anyio.sleep(0.01)
+        keepers["k3"] = KeeperHere("k3", four)
+        await keepers["k3"].start(tasks)
+        addresses = {name: ("127.0.0.1", each.port) for name, each in keepers.items()}
+        keepers["k1"].stop()
+        refused = await keepers["k0"].service.replace(four, addresses)
+        assert refused.reason == "k1 may not have version 1 yet"  # it can't be asked
+        await keepers["k1"].start(tasks)
+        for name in ("k0", "k1", "k2"):
+            assert await keepers[name].service.replace(four, addresses) is None
+        other = Claims(four, addresses, "b", Report("b", net.clock))
+        tasks.start_soon(other.run)
+        tasks.start_soon(other.perform, "sweep", work)
+        while len(held_by) < 2:
+            await anyio.sleep(0.01)
+        assert not claims[0].claims["sweep"].held(claims[0].steady())  # it goes by the old list
+        assert held_by[1] > held_by[0]
+        seen = await ask_all(addresses)
+        assert held(four, seen)[0].holder == "b" and held(four, seen)[0].votes >= 3
+
+    over_sockets(scene, names=("a",))
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -10,6 +10,7 @@
 from quartzrouter.sharing import warming as module
 from quartzrouter.sharing.budget import Refusal
 from quartzrouter.sharing.warming import ColdAsk, ColdGrant, Parts, Terms, Warming
+from quartzrouter.stand import guards
 
 MS, S = 1_000, 1_000_000
 TERMS = Terms(window=S, floors=0.2, routers=8, life=500 * MS)
@@ -355,17 +356,7 @@
     if of == "waits":
         out = ("waits",)
     elif guard == "a grant counts once":
-        granted = Parts.granted
-
-        def twice(self, grants):
-            for grant in grants:
-                part = self.parts.get(grant.server)
-                asked = part.asked.get(grant.number) if part else None
-                granted(self, [grant])
-                if asked is not None:
-                    part.asked[grant.number] = asked
-
-        monkeypatch.setattr(Parts, "granted", twice)
+        monkeypatch.setattr(*guards.COLD["a doubled part of a cold server counts twice"])
     elif guard == "the floors are kept apart":
         time = Warming._time
 
