--- a/quartzrouter/ledger/serve.py
+++ b/quartzrouter/ledger/serve.py
@@ -23,7 +23,7 @@
     Send, Sights, Taken, View, Views,
 )  # fmt: skip
 from quartzrouter.sharing.budget import Ask, Budget, Refusal
-from quartzrouter.sharing.council import TELL_EVERY, Council
+from quartzrouter.sharing.council import NEWS_EVERY, TELL_EVERY, Council
 from quartzrouter.sharing.granter import Granter
 from quartzrouter.sharing.warming import COLDS_MOST, Terms, Warming
 
@@ -96,6 +96,7 @@
         self.warming = Warming(terms or {}, steady())
         self.may_grant, self.granting = may_grant, UNLEASED  # the number under which it last granted
         self.council = Council()
+        self.failed = anyio.Event()  # a router has told of failures since the last judgements
         self.strangers = 0  # asks in a name that is not the member's
         self.connections = 0
         self.caught: dict[str, int] = {}  # as members are told: where caches stand
@@ -182,16 +183,26 @@
                 self.caught = caught
 
     async def _judge(self) -> None:
-        """Tells routers which caches to leave out, while there are any, and once that there are none."""
+        """Tells routers which caches to leave out, while there are any, and once that there are none; at once
+        where failures that were told of have changed that."""
+        beat_at, before = 0, {}
         while True:
-            await anyio.sleep(TELL_EVERY / 1e6)
+            self.failed = anyio.Event()
+            await anyio.sleep(NEWS_EVERY / 1e6)
+            with anyio.move_on_after(max(0, beat_at - self.steady()) / 1e6):
+                await self.failed.wait()
             now = self.steady()
+            beat = now >= beat_at
             self.council.trim(now)
             told = [session for session in self.sessions.values() if session.store]
             found = {store: self.council.judged(store, now) for store in {each.store for each in told}}
-            stores = {each.store for each in told if each.loads}
+            names = {store: {each.cache for each in judged} for store, judged in found.items()}
+            news = {store for store in found if beat or names[store] != before.get(store)}
+            before = names
+            beat_at = now + TELL_EVERY - NEWS_EVERY if beat else beat_at
+            stores = {each.store for each in told if each.loads and each.store in news}
             loads = {at: {each.cache: each.in_hand for each in self.council.counts(at, now)} for at in stores}
-            for session in told:
+            for session in (each for each in told if each.store in news):
                 if found[session.store] or session.judged or session.loads:
                     session.judged = bool(found[session.store])
                     wanted = loads[session.store] if session.loads else None
@@ -322,6 +333,8 @@
         elif isinstance(said, Sights):
             member, session.store, session.loads = session.member, said.store, said.loads
             self.council.hear(member.name, member.token, said.store, said.sights, self.steady(), said.caches)
+            if any(each.bad for each in said.sights):
+                self.failed.set()
         elif isinstance(said, Asks) and self.granter:
             self._grant(session, said)
 
--- a/quartzrouter/sharing/council.py
+++ b/quartzrouter/sharing/council.py
@@ -12,6 +12,7 @@
 
 SIGHT_LIFE = 1 * S  # us for which what a router has said counts: five of its words
 TELL_EVERY = SIGHT_LIFE // 5  # us between two words of a router, and of the ledger
+NEWS_EVERY = TELL_EVERY // 5  # us between two words where something has failed
 HOLDS = 1 * S  # us of a judgement, after the last look that confirms it
 HOLDS_MOST = 8 * S  # us, of a cache that is judged again and again: twice as long each time
 QUIET = 30 * S  # us after the end of a judgement, from which the next is the first again
--- a/quartzrouter/site/reducer.py
+++ b/quartzrouter/site/reducer.py
@@ -39,7 +39,12 @@
 
 
 class TellSights(NamedTuple):
-    """Time to tell others what has been seen of caches."""
+    """Time to tell others what has been seen of caches.
+
+    :param failures: only where one has failed since the last word.
+    """
+
+    failures: bool = False
 
 
 class AskShares(NamedTuple):
@@ -63,8 +68,8 @@
         match event:
             case AskShares():
                 return self._asks(now)
-            case TellSights():
-                return self._sights(now)
+            case TellSights(failures):
+                return self._sights(now, failures)
             case Linked():
                 return [Tell(self.follower.begin(now))]
             case Said(said):
@@ -104,11 +109,14 @@
         colds = parts.asks(self.force.cold(now)) if parts and parts.terms else ()
         return [Tell(Asks(asks, colds))] if asks or colds else []
 
-    def _sights(self, now: int) -> list[Tell]:
+    def _sights(self, now: int, failures: bool) -> list[Tell]:
         """What this router has seen itself since it last told."""
         if not (self.follower and self.follower.judges):
             return []
-        before, self.seen = self.seen, self.force.sights(now)
+        seen = self.force.sights(now)
+        if failures and not any(new.failed > self.seen.get(name, new).failed for name, new in seen.items()):
+            return []
+        before, self.seen = self.seen, seen
         said = []
         for name, new in self.seen.items():
             old = before.get(name) or replace(new, done=0, failed=0, in_hand=0)
--- a/quartzrouter/site/serve.py
+++ b/quartzrouter/site/serve.py
@@ -19,7 +19,7 @@
 from quartzrouter.site import purges
 from quartzrouter.site.asking import Asking
 from quartzrouter.site.logs import Structured
-from quartzrouter.sharing.council import TELL_EVERY
+from quartzrouter.sharing.council import NEWS_EVERY, TELL_EVERY
 from quartzrouter.sharing.shares import NOTHING, Counts, Shares, shown
 from quartzrouter.sharing.warming import Parts
 from quartzrouter.site.reducer import AskShares, NewPlan, PlannedReducer, TellSights
@@ -95,9 +95,11 @@
             self.feed(AskShares())
 
     async def _tell_sights(self) -> None:
+        looks = TELL_EVERY // NEWS_EVERY
         while True:
-            await anyio.sleep(TELL_EVERY / 1e6)
-            self.feed(TellSights())
+            for look in range(looks):
+                await anyio.sleep(NEWS_EVERY / 1e6)
+                self.feed(TellSights(failures=look < looks - 1))
 
     async def _tell_shares(self) -> None:
         """Says when this router begins and ends to act on its floor, and which asks were not obeyed."""
