A claimant that has held a task for a lease counts as working again

Need: couriers never said that their work goes well, so that failures at one claimant added up for good (`Claim.failures`; only the stand's claimant called `worked`). Now a renewal after a lease resets them, and nobody has to say so; `worked` is gone.

--- a/quartzrouter/keeper/claims.py
+++ b/quartzrouter/keeper/claims.py
@@ -101,9 +101,6 @@
         """Whoever was acted on has seen a higher number."""
         self.claims.perform_all(self.claim, self.claim.passed(number, self.claims.steady()))
 
-    def worked(self) -> None:
-        self.claim.worked()
-
 
 class Claims:
     """:param name: of the claimant, one a process.
--- a/quartzrouter/leases/claim.py
+++ b/quartzrouter/leases/claim.py
@@ -55,6 +55,7 @@
     floor: int = 0  # the highest that it has heard of
     until: int = 0  # of the lease
     holding: bool = False
+    since: int = 0  # when it was gained
     given: set[str] = field(default_factory=set)  # keepers that said yes in this round
     answered: set[str] = field(default_factory=set)
     due: int = 0  # when to ask next
@@ -133,8 +134,10 @@
             return []  # all came too late to be of use
         self.until, self.holder, self.left = until, self.name, 0
         if self.holding:
+            if now - self.since >= self.terms.length:
+                self.failures = 0  # it has worked for a while
             return []
-        self.holding = True
+        self.holding, self.since = True, now
         return [Gained(self.number)]
 
     def _settled(self, now: int) -> list[Effect]:
@@ -176,9 +179,6 @@
         self.failures = min(FAILED_MOST, self.failures + 1)
         return self._release("the task failed here", now) if self.holding else []
 
-    def worked(self) -> None:
-        self.failures = 0
-
     def release(self, now: int) -> list[Effect]:
         """The claimant is told to stop: whoever waits may have it at once."""
         self.wanted = False
--- a/quartzrouter/stand/witness.py
+++ b/quartzrouter/stand/witness.py
@@ -98,7 +98,6 @@
                 if answer == "no":
                     hold.passed(number)
                     return
-                hold.worked()
                 await anyio.sleep(PAUSE)
 
     async with anyio.create_task_group() as tasks:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -228,7 +228,11 @@
     three.do(holder, holder.failed(three.now))
     three.pass_(LENGTH)
     assert three.holders() not in ([], [first])
-    assert holder.due > three.now - LENGTH // 2
+    assert holder.due > three.now - LENGTH // 2 and holder.failures == 1
+    other = next(claim for claim in three.claims if claim.name != first)
+    three.do(other, other.release(three.now))
+    three.pass_(4 * LENGTH)
+    assert three.holders() == [first] and holder.failures == 0  # it has worked for a lease
 
 
 def test_the_preferred_come_first():
