--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -63,7 +63,7 @@
 
 
 def gaps() -> None:
-    """Processes: from the fault until another acts; for a hand-over from the last act."""
+    """Processes: from the fault until the next lease acts; for a hand-over from the last act."""
     print(f"{'holder':14} {'times':>6} {'median':>9} {'p99':>9} {'worst':>9}   s, lease {SHAPE.length}")
     with ProcessPoolExecutor(len(KINDS), mp_context=get_context("spawn")) as pool:
         for name, found in zip(KINDS, pool.map(_gaps, KINDS.values()), strict=True):
@@ -81,7 +81,8 @@
         acts = checks.acts(seen.fleet.history)
         for each in (one for one in seen.fleet.history.of("fault") if one.told["kind"] == kind):
             before = [act for act in acts if act.who == each.who and act.began < each.at + 200_000]
-            after = [act.began for act in acts if act.who != each.who and act.began > each.at]
+            number = before[-1].number if before else 0
+            after = [act.began for act in acts if act.number > number and act.began > each.at]
             if before and after:
                 last = max(each.at, before[-1].began) if kind == "end" else each.at
                 found.append(min(after) - last)
--- a/quartzrouter/leases/claim.py
+++ b/quartzrouter/leases/claim.py
@@ -58,6 +58,7 @@
     since: int = 0  # when it was gained
     given: set[str] = field(default_factory=set)  # keepers that said yes in this round
     answered: set[str] = field(default_factory=set)
+    against: dict[str, int] = field(default_factory=dict)  # keepers that said no, by holder
     due: int = 0  # when to ask next
     left: int = 0  # until when somebody else is said to hold it
     holder: str = ""
@@ -100,7 +101,7 @@
         if not self.holding:  # a number of its own each time: a late word on an earlier one undoes nothing
             self.number = min(NUMBER_MOST, max(self.floor + 1, self.number + 1, wall))
         self.round, self.asked = self.round + 1, now
-        self.given, self.answered = set(), set()
+        self.given, self.answered, self.against = set(), set(), {}
         self.due = now + self.terms.every
         told = (self.name, self.token, self.round, self.number, self.terms.figures, self.holding)
         return [Ask(Vote(self.task, *told))]
@@ -124,7 +125,9 @@
             self.given.add(said.keeper)
             if len(self.given) >= self.terms.majority:
                 return self._gained(now)
-        elif said.left > 0:
+        else:
+            self.against[said.holder] = self.against.get(said.holder, 0) + 1
+        if said.left > 0 and not said.given:
             self.left, self.holder = max(self.left, now + min(said.left, self.terms.length)), said.holder
         return self._settled(now)
 
@@ -145,7 +148,8 @@
         no = len(self.answered) - len(self.given)
         if self.holding or no <= len(self.terms.keepers) - self.terms.majority:
             return []
-        pause = max(0, self.left - now) if self.holder != self.name else 0
+        one = max(self.against.values(), default=0) >= self.terms.majority
+        pause = max(0, self.left - now) if one else 0  # split votes are soon given back
         low = self.floor > self.number and not pause  # only the number was: the next is higher, at once
         self.due = now if low else now + pause + self._pause()
         self.left = 0
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -81,7 +81,12 @@
     for name in "bcd":
         made.vote(vote(name, number=1), 0)
     assert made.free(Free("sweep", "a", "other", 3), 1) == () == made.free(Free("sweep", "a", "t", 2), 1)
-    assert made.free(Free("sweep", "a", "t", 3), 1) == ("b", "c")  # few are told: one gets it
+    (told,) = made.free(Free("sweep", "a", "t", 3), 1)  # one is, or two would split the votes
+    other = keeper()
+    other.vote(vote(number=3), 0)
+    for name in "dcb":
+        other.vote(vote(name, number=1), 0)
+    assert other.free(Free("sweep", "a", "t", 3), 1) == (told,)  # the same by all keepers
     assert made.vote(vote("b", number=4), 2).given
     assert made.free(Free("sweep", "a", "t", 3), 3) == () and not made.vote(vote("c", number=9), 3).given
 
@@ -696,3 +701,20 @@
         assert held(four, seen)[0].holder == "b" and held(four, seen)[0].votes >= 3
 
     over_sockets(scene, names=("a",))
+
+
+def test_split_votes_are_given_back_and_asked_for_again_soon():
+    # Each waited a whole lease for the other, who had given up as well.
+    terms = Terms(TERMS.keepers, tasks=TERMS.tasks)
+    claim = Claim(terms, "sweep", "a", "t", 0)
+    claim._ask(0, 1)
+    told = {"task": "sweep", "token": "t", "round": 1, "highest": 1}
+    claim.answer(Answer(keeper="k0", given=True, **told), 1)
+    claim.answer(Answer(keeper="k1", given=False, left=LENGTH, holder="b", **told), 1)
+    effects = claim.answer(Answer(keeper="k2", given=False, left=LENGTH, holder="c", **told), 1)
+    assert isinstance(effects[0].said, Free) and claim.due <= LENGTH // 4 + 1
+    claim._ask(LENGTH, 1)
+    for keeper_ in ("k0", "k1"):  # a majority holds with one
+        told["round"] = claim.round
+        claim.answer(Answer(keeper=keeper_, given=False, left=LENGTH, holder="b", **told), LENGTH)
+    assert claim.due >= 2 * LENGTH
