Keepers tell two claimants of a free vote again: with one, gaps were longer

The change of `Keeper.free` is taken back; that a split costs a draw stays. 51 tests of leases pass.

--- a/quartzrouter/leases/keeper.py
+++ b/quartzrouter/leases/keeper.py
@@ -7,7 +7,6 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from zlib import crc32
 
 from quartzrouter.leases.terms import (
     NAME_MOST, NUMBER_MOST, S, TASKS_MOST, Answer, Free, Keeps, Number, Refusal, Terms, Vote, Voted,
@@ -16,6 +15,7 @@
 WAITING_MOST = 64  # claimants of a task that were turned away and are told when it is free, oldest first
 WAITS_FOR = 30 * S  # us for which one that was turned away counts as waiting
 SHUNNED_LEASES = 3  # for which a holder is left out that an operator has taken a task from
+TOLD_AT_ONCE = 2  # of them, when it gets free: more would all ask, and one gets it
 REFUSED_KINDS = 8  # fields by which words that are not obeyed are counted
 
 
@@ -104,8 +104,7 @@
             self.refused[refusal.place] = self.refused.get(refusal.place, 0) + 1
 
     def free(self, said: Free, now: int) -> tuple[str, ...]:
-        """Takes a vote back from whoever gives it up; names one to be told that was turned away, if any, by a
-        draw that is the same at all keepers: two would split the votes."""
+        """Takes a vote back from whoever gives it up; names those to be told, who were turned away first."""
         ballot = self.ballots.get(said.task)
         if ballot is None or (ballot.name, ballot.token) != (said.name, said.token):
             return ()
@@ -114,11 +113,10 @@
         ballot.until = now
         for name in [name for name, at in ballot.waiting.items() if now - at > WAITS_FOR]:
             del ballot.waiting[name]
-        if not ballot.waiting:
-            return ()
-        told = min(ballot.waiting, key=lambda name: crc32(f"{said.task}/{said.number}/{name}".encode()))
-        del ballot.waiting[told]
-        return (told,)
+        told = tuple(ballot.waiting)[:TOLD_AT_ONCE]
+        for name in told:
+            del ballot.waiting[name]
+        return told
 
     def shun(self, task: str, now: int) -> str:
         """Votes for others first; names the holder whose votes run out now."""
