Work that ends with its lease doesn't count as failed: gaps of 4 and 8 leases came of it

Cause: `Claims.perform` took work that returned while the claim still held for work that had failed. Work returns when `held()` says no, an eighth of a lease before the end, a moment before the claim is told of its loss or renewed; each time the pause doubled, 1, 2, 4, 8 leases (`Claim._penalty`). That fits the gaps measured: 4.034, 4.061, 3.995, 3.975 and 8.483 s with leases of 1 s. Now it waits for an eighth of a lease and goes on.

--- a/quartzrouter/keeper/claims.py
+++ b/quartzrouter/keeper/claims.py
@@ -163,7 +163,9 @@
                         failed = f"{type(error).__name__}: {error}"
                     tasks.cancel_scope.cancel()
             self.working.discard(task)
-            if claim.holding and claim.number == hold.number:
+            if not failed and not hold.held():  # the end of a lease ended it, which may yet be renewed
+                await anyio.sleep(self.terms.act / 1e6)
+            elif claim.holding and claim.number == hold.number:
                 self.report.say("lease", f"{task}: {failed or 'done here'}; given up")
                 self.perform_all(claim, claim.failed(self.steady()))
 
