--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -713,3 +713,26 @@
         told["round"] = claim.round
         claim.answer(Answer(keeper=keeper_, given=False, left=LENGTH, holder="b", **told), LENGTH)
     assert claim.due >= 2 * LENGTH
+
+
+def test_work_that_ends_with_its_lease_has_not_failed():
+    # Each time counted as a failure, and the pause after it doubled: gaps of 4 and 8 leases.
+    runs = []
+
+    async def scene(tasks, keepers, claims):
+        claim = claims[0].claim("sweep")
+
+        async def work(hold):
+            runs.append(hold.number)
+            if len(runs) == 1:
+                claim.until = claims[0].steady()  # no renewal came
+                assert not hold.held()
+                return
+            await anyio.sleep_forever()
+
+        tasks.start_soon(claims[0].perform, "sweep", work)
+        while len(runs) < 2:
+            await anyio.sleep(0.01)
+        assert claim.failures == 0
+
+    over_sockets(scene, names=("a",))
