--- /dev/null
+++ b/benchmarks/variants.py
@@ -0,0 +1,96 @@
+"""Writes site files of other customers into deploy/sites/, out of a site file that an operator has.
+
+    python benchmarks/variants.py SITE.toml
+
+A variant has other classes, shares, deadlines, effects, limits and costs; the files that the site file is
+read with (real.json, wire.json, unlock.txt) are copied beside it.  Git ignores the folder, as nothing of a
+site enters the repo.
+"""
+
+import re
+import shutil
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).parent.parent / "deploy" / "sites"
+BESIDE = "real.json", "wire.json", "unlock.txt"
+HEADING = re.compile(r"\[+([a-z.]+)\]+")
+BARE = re.compile(r"[0-9.]+|\[.*\]|true|false")  # values that stand without quotation marks
+# By variant, section, its place among those of that name, and key: what stands there instead.  The first
+# customer has what may never run twice, short deadlines and few attempts; the second a narrow window for
+# repeats, and neither cancels nor a time to come back.
+VARIANTS = {
+    "tickets": {
+        ("class", 0): dict(name="seat-maps", share="[2.1, 3.0]", aim_ms="300", deadline_ms="1500", worth="1"),
+        ("class", 1): dict(name="lists", share="[4.0, 5.5]", aim_ms="250", deadline_ms="1200", worth="1.5"),
+        ("class", 2): dict(
+            name="bookings", share="[0.5, 0.8]", effect="unsafe", deadline_ms="2000", worth="6", group=None,
+            window_ms=None,
+        ),
+        ("allow", 0): dict(max_attempts="3"),
+        ("rules", 0): dict(drain_grace_ms="1000", fall_ms="1500"),
+        ("prices", 0): dict(probe="0.03", waste="0.06", late_fail="0.06", origin="0.03"),
+        ("clients", 0): dict(retries="[1, 3]", honour="[0.2, 0.6]", impatient="[0.02, 0.05]"),
+        ("tier.conn", 0): dict(idle_s="6", connect_timeout_ms="250"),
+    },
+    "radio": {
+        ("class", 0): dict(name="streams", share="[5.0, 6.0]", aim_ms="900", deadline_ms="8000", worth="1"),
+        ("class", 1): dict(name="covers", share="[2.0, 3.0]", aim_ms="600", deadline_ms="2500", worth="0.5"),
+        ("class", 2): dict(name="votes", share="[0.6, 0.9]", window_ms="1200", deadline_ms="4000", worth="2"),
+        ("allow", 0): dict(max_attempts="8", cancel="false", retry_after="false"),
+        ("rules", 0): dict(drain_grace_ms="3000", fall_multiple="1.5"),
+        ("prices", 0): dict(probe="0.002", waste="0.01", late_fail="0.1", origin="0.12"),
+        ("fam", 0): dict(purges="[1.0, 2.0]", purge_grace_ms="200", parent_fall_multiple="1.5"),
+        ("tier.conn", 0): dict(idle_s="30", connect_timeout_ms="900"),
+    },
+}  # fmt: skip
+
+
+class Unwritable(Exception):
+    """A site file that a variant does not fit; says the place."""
+
+
+def variant(text: str, name: str, changes: dict[tuple[str, int], dict[str, str | None]]) -> str:
+    """The site file as this customer would have it; a value of None leaves the key out."""
+    left = {(*where, key): value for where, keys in changes.items() for key, value in keys.items()}
+    count: dict[str, int] = {}
+    at, lines = ("", 0), []
+    for line in text.splitlines():
+        if heading := HEADING.fullmatch(line.strip()):
+            at = (heading[1], count.get(heading[1], 0))
+            count[heading[1]] = at[1] + 1
+        key = line.partition("=")[0].strip()
+        if at == ("", 0) and key == "name":
+            line = f'name = "{name}"'
+        if (*at, key) in left:
+            value = left.pop((*at, key))
+            if value is None:
+                continue
+            line = f"{key} = {value}" if BARE.fullmatch(value) else f'{key} = "{value}"'
+        lines.append(line)
+    if left:
+        raise Unwritable(f"{name}: the site file has no {' '.join(map(str, next(iter(left))))}")
+    return "\n".join(lines) + "\n"
+
+
+def main(arguments: list[str]) -> int:
+    if len(arguments) != 1:
+        print("usage: python benchmarks/variants.py SITE.toml", file=sys.stderr)
+        return 2
+    site = Path(arguments[0])
+    try:
+        text = site.read_text()
+        FOLDER.mkdir(exist_ok=True)
+        for name, changes in VARIANTS.items():
+            (FOLDER / f"{name}.toml").write_text(variant(text, name, changes))
+        for beside in BESIDE:
+            shutil.copyfile(site.parent / beside, FOLDER / beside)
+    except (OSError, Unwritable) as error:
+        print(f"variants: {error}; give the site file with {', '.join(BESIDE)} beside it", file=sys.stderr)
+        return 1
+    print(f"written: {', '.join(f'deploy/sites/{name}.toml' for name in VARIANTS)}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
