A client's connection is called that: Seat is ClientConnection

No change of behaviour. The house word hid the standard one; front.py and serve.py named the same thing seat, client and connection.

--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -126,7 +126,7 @@
     )
 
 
-class Seat:
+class ClientConnection:
     """One client's connection: its reqs by record id, and what is to be written to it."""
 
     def __init__(self, front: "Front", stream: anyio.abc.ByteStream):
@@ -329,7 +329,7 @@
         id, keep, size = self.owed.pop(ticket)
         self.heard = anyio.current_time()  # a client may ask again for as long after its answer
         del self.tickets[id]
-        self.front.seats.pop(ticket, None)
+        self.front.clients.pop(ticket, None)
         self.front.room += size
         self.closing |= not keep
         self.write(ticket, fastcgi.reply(id, data) if whole else [fastcgi.end(id, whole=False)])
@@ -380,7 +380,7 @@
         self.front.room += sum(intake.size for intake in self.intakes.values())
         for ticket, (_, _, size) in list(self.owed.items()):
             self.front.room += size
-            self.front.seats.pop(ticket, None)
+            self.front.clients.pop(ticket, None)
             self.front.feed(Left(ticket))
         self.owed.clear()
         self.waiting.clear()
@@ -397,22 +397,22 @@
         self.feed, self.most, self.call, self.report = feed, most, call, report
         self.room = room  # bytes of reqs that may still be held
         self.tickets = 0
-        self.seats: dict[int, Seat] = {}  # by ticket
-        self.open: set[Seat] = set()
+        self.clients: dict[int, ClientConnection] = {}  # by ticket
+        self.open: set[ClientConnection] = set()
         self.coming = 0  # admitted, not yet served
 
     @property
     def flushed(self) -> bool:
-        return not any(seat.unsent for seat in self.open)
+        return not any(client.unsent for client in self.open)
 
     @property
     def all_read(self) -> bool:
         """Nothing has come that this process hasn't read."""
-        return not any(seat.line is Line.UNREAD for seat in self.open)
+        return not any(client.line is Line.UNREAD for client in self.open)
 
-    def ticket(self, seat: Seat) -> int:
+    def ticket(self, client: ClientConnection) -> int:
         self.tickets += 1
-        self.seats[self.tickets] = seat
+        self.clients[self.tickets] = client
         return self.tickets
 
     def admit(self) -> bool:
@@ -426,16 +426,16 @@
     async def serve(self, stream: anyio.abc.ByteStream) -> None:
         """One connection that was admitted, to its end."""
         self.coming -= 1
-        seat = Seat(self, stream)
-        self.open.add(seat)
+        client = ClientConnection(self, stream)
+        self.open.add(client)
         try:
-            with seat.scope:
-                await self._attend(seat)
+            with client.scope:
+                await self._attend(client)
         except Exception as error:
             self.report.say("client", f"connection ended: {type(error).__name__}: {error}")
         finally:
-            self.open.discard(seat)
-            seat.leave()
+            self.open.discard(client)
+            client.leave()
             await self._close(stream)
 
     @staticmethod
@@ -443,11 +443,11 @@
         with contextlib.suppress(Exception):
             await anyio.aclose_forcefully(stream)
 
-    async def _attend(self, seat: Seat) -> None:
+    async def _attend(self, client: ClientConnection) -> None:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._flush, seat, tasks)
+            tasks.start_soon(self._flush, client, tasks)
             try:
-                await seat.read()
+                await client.read()
             except LOST:
                 pass
             except fastcgi.Broken as error:
@@ -458,16 +458,16 @@
         """Of those that are owed nothing, gives up one that its client has closed, else one that was silent
         from the start, else the longest silent; none on which something waits to be read."""
         young = anyio.current_time() - YOUNG
-        idle = [seat for seat in self.open if seat.idle]
-        idle.sort(key=lambda seat: (seat.used or seat.since > young, seat.heard))
+        idle = [client for client in self.open if client.idle]
+        idle.sort(key=lambda client: (client.used or client.since > young, client.heard))
         quiet = None
-        for looks, seat in enumerate(idle):
+        for looks, client in enumerate(idle):
             if looks >= LOOKS and quiet:
                 break
-            line = seat.line
+            line = client.line
             if line is Line.ENDED:
-                return seat.retire()
-            quiet = quiet or (seat if line is Line.QUIET else None)
+                return client.retire()
+            quiet = quiet or (client if line is Line.QUIET else None)
         return quiet is not None and quiet.retire()
 
     async def sweep(self) -> None:
@@ -475,20 +475,20 @@
         while True:
             await anyio.sleep(SWEEP_EVERY)
             now = anyio.current_time()
-            for seat in list(self.open):
-                for id in [id for id, intake in seat.intakes.items() if now - intake.since > WHOLE_WITHIN]:
-                    seat.refuse(id, Unusable("still not whole", 408))
-                if len(seat.outgoing) and now - seat.sending > STUCK_AFTER:
+            for client in list(self.open):
+                for id in [id for id, intake in client.intakes.items() if now - intake.since > WHOLE_WITHIN]:
+                    client.refuse(id, Unusable("still not whole", 408))
+                if len(client.outgoing) and now - client.sending > STUCK_AFTER:
                     self.report.say("client", "a client that takes nothing is given up")
-                    seat.scope.cancel()
-                elif seat.used and now - seat.heard > IDLE_MOST:
-                    seat.retire()
-                elif not seat.used and now - seat.since > WHOLE_WITHIN and seat.retire():
+                    client.scope.cancel()
+                elif client.used and now - client.heard > IDLE_MOST:
+                    client.retire()
+                elif not client.used and now - client.since > WHOLE_WITHIN and client.retire():
                     self.report.say("client", "a connection that brings no req is closed")
 
-    async def _flush(self, seat: Seat, tasks: anyio.abc.TaskGroup) -> None:
+    async def _flush(self, client: ClientConnection, tasks: anyio.abc.TaskGroup) -> None:
         with contextlib.suppress(*LOST):
-            await seat.flush()
-            await seat.stream.send_eof()
+            await client.flush()
+            await client.stream.send_eof()
             await anyio.sleep(LINGER)
         tasks.cancel_scope.cancel()
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -126,16 +126,16 @@
                 self._perform(effect)
             except Exception:
                 self.report.say("fault", f"{type(effect).__name__}: {traceback.format_exc()}")
-        if seat := self.front.seats.get(failed):
-            seat.reply(failed, answer.aborted())
+        if client := self.front.clients.get(failed):
+            client.reply(failed, answer.aborted())
         if self.reducer.due < due:
             self.changed.set()
 
     def _perform(self, effect) -> None:
         match effect:
             case Reply(ticket, data):
-                if seat := self.front.seats.get(ticket):
-                    seat.reply(ticket, data)
+                if client := self.front.clients.get(ticket):
+                    client.reply(ticket, data)
             case Open(ticket, hop, name, address):
                 self.flights[ticket, hop] = Flight()
                 self.tasks.start_soon(self._dispatch, ticket, hop, name, address)
@@ -163,11 +163,11 @@
         raise NotImplementedError(type(effect).__name__)
 
     async def _dispatch(self, ticket: int, hop: int, name: str, address: tuple[str, int]) -> None:
-        flight, seat = self.flights[ticket, hop], self.front.seats.get(ticket)
+        flight, client = self.flights[ticket, hop], self.front.clients.get(ticket)
 
         def given(then: Callable[[], None]) -> None:
-            if seat:
-                seat.once_taken(ticket, then)
+            if client:
+                client.once_taken(ticket, then)
             else:
                 then()
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -140,7 +140,7 @@
         kept, silent = await connect(), await connect()
         await kept.begin(1)
         await kept.end()
-        closed, *_ = [seat for seat in world.service.front.open if not seat.used]
+        closed, *_ = [client for client in world.service.front.open if not client.used]
         assert not looked_at or closed.line is front.Line.QUIET
         closed.stream._transport.abort()  # as the loop does on an error of its own
         await anyio.sleep(0)
