--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -38,7 +38,7 @@
 ASKED = h11.Request(method="GET", target="/", headers=[("Host", "cache")])
 
 
-class Line:
+class CacheConnection:
     """One connection to a cache."""
 
     def __init__(self, stream: anyio.abc.ByteStream, address: tuple[str, int], now: float):
@@ -112,7 +112,7 @@
         return done and not len(self.incoming) and not self.http.trailing_data[0]
 
 
-class Room:
+class ByteBudget:
     """The bytes that answers may take up until their clients have them; who finds no room waits for it."""
 
     def __init__(self, size: int):
@@ -134,31 +134,33 @@
         self, feed: Callable[[Event], None], most: int, room: int, idle_most: float, connect_within: float,
         copy_of: Callable[[dict[str, str]], Any] | None = None, reports: bool = False,
     ):  # fmt: skip
-        self.feed, self.most, self.room, self.copy_of = feed, most, Room(room), copy_of
+        self.feed, self.most, self.room, self.copy_of = feed, most, ByteBudget(room), copy_of
         self.reports = reports  # whether answers are read for them
         self.idle_most, self.connect_within = idle_most * IDLE_SHARE, connect_within
-        self.pool: dict[str, list[Line]] = {}  # by the cache's id, last used last
+        self.pool: dict[str, list[CacheConnection]] = {}  # by the cache's id, last used last
         self.open = 0  # connections, and those that are coming up
-        self.asked: dict[tuple[int, int], Line] = {}  # by ticket and hop
+        self.asked: dict[tuple[int, int], CacheConnection] = {}  # by ticket and hop
 
-    async def _connect(self, name: str, address: tuple[str, int]) -> Line | Failure:
+    async def _connect(self, name: str, address: tuple[str, int]) -> CacheConnection | Failure:
         """A connection, pooled or new."""
-        lines = self.pool.get(name, [])
-        while at := bisect_right(lines, anyio.current_time() - REST, key=lambda line: line.idle_since):
-            line = lines.pop(at - 1)
-            fresh = anyio.current_time() - line.idle_since < self.idle_most
-            if line.address == address and fresh and line.quiet():
-                return line
-            await self._close(line)
+        connections = self.pool.get(name, [])
+        while at := bisect_right(
+            connections, anyio.current_time() - REST, key=lambda connection: connection.idle_since
+        ):
+            connection = connections.pop(at - 1)
+            fresh = anyio.current_time() - connection.idle_since < self.idle_most
+            if connection.address == address and fresh and connection.quiet():
+                return connection
+            await self._close(connection)
         if self.open >= self.most and not await self._make_room():
             return Failure(Stage.CONNECTING, Cause.NO_ROOM)
         self.open += 1
-        line = None
+        connection = None
         try:
             with anyio.fail_after(self.connect_within):
                 stream = await anyio.connect_tcp(*address)
-            line = Line(stream, address, anyio.current_time())
-            return line
+            connection = CacheConnection(stream, address, anyio.current_time())
+            return connection
         except TimeoutError:
             return Failure(Stage.CONNECTING, Cause.REFUSED, "no connection in time")
         except OSError as error:
@@ -169,28 +171,28 @@
         except AttributeError:  # what the loop's stream raises where the other side has reset it already
             return Failure(Stage.CONNECTING, Cause.RESET, "gone at once")
         finally:
-            if line is None:
+            if connection is None:
                 self.open -= 1
 
     async def _make_room(self) -> bool:
         """Closes the pooled connection that has been idle for longest."""
-        idle = [(lines[0].idle_since, name) for name, lines in self.pool.items() if lines]
+        idle = [(connections[0].idle_since, name) for name, connections in self.pool.items() if connections]
         if not idle:
             return False
         await self._close(self.pool[min(idle)[1]].pop(0))
         return True
 
-    async def _close(self, line: Line) -> None:
+    async def _close(self, connection: CacheConnection) -> None:
         self.open -= 1
-        await line.close()
+        await connection.close()
 
-    async def _keep(self, name: str, line: Line) -> None:
-        if not line.reusable:
-            await self._close(line)
+    async def _keep(self, name: str, connection: CacheConnection) -> None:
+        if not connection.reusable:
+            await self._close(connection)
             return
-        line.http.start_next_cycle()
-        line.idle_since = anyio.current_time()
-        self.pool.setdefault(name, []).append(line)
+        connection.http.start_next_cycle()
+        connection.idle_since = anyio.current_time()
+        self.pool.setdefault(name, []).append(connection)
 
     async def dispatch(
         self, ticket: int, hop: int, name: str, address: tuple[str, int],
@@ -201,7 +203,7 @@
 
         An answer is held until it is whole: one that breaks off may then be asked for again elsewhere.
         """
-        line, stage, ended, held = None, Stage.CONNECTING, False, 0
+        connection, stage, ended, held = None, Stage.CONNECTING, False, 0
         body, interim = bytearray(), 0
 
         def over(cause: Cause | None = None, detail: object = "") -> None:
@@ -215,13 +217,13 @@
             if isinstance(found, Failure):
                 over(found.cause, found.detail)
                 return
-            line, stage = found, Stage.CONNECTED
-            self.asked[ticket, hop] = line
+            connection, stage = found, Stage.CONNECTED
+            self.asked[ticket, hop] = connection
             self.feed(Ready(ticket, hop))
             write = await order()
             stage = Stage.ASKING
-            await line.ask(write.target, write.fields, write.body)
-            while not isinstance(event := await line.next(), h11.EndOfMessage):
+            await connection.ask(write.target, write.fields, write.body)
+            while not isinstance(event := await connection.next(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     stage = Stage.ANSWERED
                     head = read_head(ticket, hop, event, self.copy_of, self.reports)
@@ -236,7 +238,7 @@
                 elif (interim := interim + 1) > INTERIM_MOST:
                     raise Unreadable("1xx without end")
             over()
-            kept, line = line, None
+            kept, connection = connection, None
             given(partial(self.room.give, held))
             held = 0
             await self._keep(name, kept)
@@ -250,28 +252,28 @@
         finally:
             self.asked.pop((ticket, hop), None)
             self.room.give(held)
-            if line is not None:
-                await self._close(line)
+            if connection is not None:
+                await self._close(connection)
 
     def drop(self, ticket: int, hop: int) -> None:
         """Ends a dispatch's connection now, ahead of its task: the next one may go out at once."""
-        if line := self.asked.get((ticket, hop)):
-            line.shut()
+        if connection := self.asked.get((ticket, hop)):
+            connection.shut()
 
     async def probe(self, probe: Probe) -> None:
-        ending, line = Ending.ERROR, None
+        ending, connection = Ending.ERROR, None
         try:
             with anyio.move_on_after(probe.timeout / 1e6) as scope:
                 found = await self._connect(probe.name, probe.address)
                 if isinstance(found, Failure):
                     ending = found.ending()
                     return
-                line = found
-                await line.ask("/alive", [], b"")
-                while not isinstance(event := await line.next(), h11.EndOfMessage):
+                connection = found
+                await connection.ask("/alive", [], b"")
+                while not isinstance(event := await connection.next(), h11.EndOfMessage):
                     if isinstance(event, h11.Response) and event.status_code == 200:
                         ending = Ending.DONE
-                kept, line = line, None
+                kept, connection = connection, None
                 await self._keep(probe.name, kept)
             if scope.cancelled_caught:
                 ending = Ending.LATE
@@ -280,23 +282,23 @@
         except Exception:
             ending = Ending.ERROR
         finally:
-            if line is not None:
-                await self._close(line)
+            if connection is not None:
+                await self._close(connection)
             self.feed(Probed(probe.name, ending))
 
     async def forget(self, name: str) -> None:
-        for line in self.pool.pop(name, []):
-            await self._close(line)
+        for connection in self.pool.pop(name, []):
+            await self._close(connection)
 
     async def sweep(self) -> None:
         """Closes what has been idle for nearly as long as is told."""
         while True:
             await anyio.sleep(self.idle_most / 10)
             before = anyio.current_time() - self.idle_most
-            for name, lines in list(self.pool.items()):  # others come up meanwhile
-                while lines and lines[0].idle_since < before:
-                    await self._close(lines.pop(0))
-                if not lines and self.pool.get(name) is lines:
+            for name, connections in list(self.pool.items()):  # others come up meanwhile
+                while connections and connections[0].idle_since < before:
+                    await self._close(connections.pop(0))
+                if not connections and self.pool.get(name) is connections:
                     del self.pool[name]
 
 
