--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -40,7 +40,7 @@
 ACCEPT_PAUSE = 0.05  # s after an accept that failed
 
 
-class Flight:
+class Attempt:
     """A dispatch's task, and the way to hand it what to write."""
 
     def __init__(self) -> None:
@@ -67,7 +67,7 @@
             post.briefing.arguments["permits"].reports,
         )  # fmt: skip
         self.journal = journal.Journal(post.journal, post.position, post.briefing, self.feed, self.report)
-        self.flights: dict[tuple[int, int], Flight] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}
         self.events: deque[Event] = deque()
         self.feeding, self.now, self.time = False, 0, Time(clock, steady)
         self.done = 0  # events played, but for ticks without effects
@@ -137,16 +137,16 @@
                 if client := self.front.clients.get(ticket):
                     client.reply(ticket, data)
             case Open(ticket, hop, name, address):
-                self.flights[ticket, hop] = Flight()
+                self.attempts[ticket, hop] = Attempt()
                 self.tasks.start_soon(self._dispatch, ticket, hop, name, address)
             case Write(ticket, hop):
-                flight = self.flights[ticket, hop]
-                flight.write = effect
-                flight.asked.set()
+                attempt = self.attempts[ticket, hop]
+                attempt.write = effect
+                attempt.asked.set()
             case Drop(ticket, hop):
                 self.backend.drop(ticket, hop)
-                if flight := self.flights.get((ticket, hop)):
-                    flight.scope.cancel()
+                if attempt := self.attempts.get((ticket, hop)):
+                    attempt.scope.cancel()
             case Probe():
                 self.tasks.start_soon(self.backend.probe, effect)
             case Forget(name):
@@ -163,7 +163,7 @@
         raise NotImplementedError(type(effect).__name__)
 
     async def _dispatch(self, ticket: int, hop: int, name: str, address: tuple[str, int]) -> None:
-        flight, client = self.flights[ticket, hop], self.front.clients.get(ticket)
+        attempt, client = self.attempts[ticket, hop], self.front.clients.get(ticket)
 
         def given(then: Callable[[], None]) -> None:
             if client:
@@ -172,10 +172,10 @@
                 then()
 
         try:
-            with flight.scope:
-                await self.backend.dispatch(ticket, hop, name, address, flight.order, given)
+            with attempt.scope:
+                await self.backend.dispatch(ticket, hop, name, address, attempt.order, given)
         finally:
-            del self.flights[ticket, hop]
+            del self.attempts[ticket, hop]
 
     async def _timers(self) -> None:
         played = 0
