--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -1,9 +1,9 @@
 """Dispatches and probes: HTTP/1.1 to the caches on pooled connections, one req at a time on each."""
 
-import contextlib
 import errno
 import socket
 from bisect import bisect_right
+from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
@@ -15,6 +15,7 @@
 from quartzrouter.net.progress import LOST, Cause, Failure, Stage
 from quartzrouter.net.reducer import Event, Head, Over, Probe, Probed, Ready, Write
 from quartzrouter.net.ring import Ring
+from quartzrouter.net.stream import Pending, Stream, connect
 
 INCOMING, OUTGOING = 1 << 15, 1 << 14  # bytes in each direction: most answers in one or two reads
 RECEIVE = 1 << 16  # bytes in a socket's own buffer, read whole at once: a fast sender may not fill the memory
@@ -38,17 +39,15 @@
 ASKED = h11.Request(method="GET", target="/", headers=[("Host", "cache")])
 
 
-class Line:
+class CacheConnection:
     """One connection to a cache."""
 
-    def __init__(self, stream: anyio.abc.ByteStream, address: tuple[str, int], now: float):
+    def __init__(self, stream: Stream, address: tuple[str, int], now: float):
         self.stream, self.address, self.idle_since = stream, address, now
+        self.used = False  # it has carried a req
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
         self.incoming, self.outgoing = Ring(INCOMING), Ring(OUTGOING)
-        held = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        # a socket object for the descriptor, which the loop keeps: to be detached, not closed
-        self.raw = socket.socket(held.family, socket.SOCK_STREAM, 0, held.fileno())
-        self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+        stream.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
 
     async def send(self, data: bytes) -> None:
         for at in range(0, len(data), OUTGOING):
@@ -87,23 +86,7 @@
 
     def quiet(self) -> bool:
         """Nothing has come since the last answer, no end either: the next req goes out on a live one."""
-        try:
-            self.raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
-
-    def shut(self) -> None:
-        with contextlib.suppress(OSError):
-            self.raw.shutdown(socket.SHUT_RDWR)
-
-    async def close(self) -> None:
-        if self.raw.fileno() >= 0:
-            self.raw.detach()
-        with contextlib.suppress(Exception):
-            await anyio.aclose_forcefully(self.stream)
+        return self.stream.pending() is Pending.QUIET
 
     @property
     def reusable(self) -> bool:
@@ -112,21 +95,38 @@
         return done and not len(self.incoming) and not self.http.trailing_data[0]
 
 
-class Room:
-    """The bytes that answers may take up until their clients have them; who finds no room waits for it."""
+class ByteBudget:
+    """The bytes that answers may take up until their clients have them; who finds no room waits, in order.
+
+    Out of order, small answers would take what is given back as it comes, and a large one wait for ever.
+    """
 
     def __init__(self, size: int):
-        self.free, self.freed = max(size, ANSWER_MOST), anyio.Event()
+        self.free = max(size, ANSWER_MOST)
+        self.waiting: deque[tuple[int, anyio.Event]] = deque()  # one an attempt at most
 
     async def take(self, count: int) -> None:
-        while count > self.free:
-            self.freed = anyio.Event() if self.freed.is_set() else self.freed
-            await self.freed.wait()
-        self.free -= count
+        if not self.waiting and count <= self.free:
+            self.free -= count
+            return
+        turn = count, anyio.Event()
+        self.waiting.append(turn)
+        try:
+            await turn[1].wait()
+        except BaseException:
+            if turn[1].is_set():  # given up in the very turn in which it was granted
+                self.give(count)
+            else:
+                self.waiting.remove(turn)
+                self.give(0)  # those behind it may fit
+            raise
 
     def give(self, count: int) -> None:
         self.free += count
-        self.freed.set()
+        while self.waiting and self.waiting[0][0] <= self.free:
+            granted, turn = self.waiting.popleft()
+            self.free -= granted
+            turn.set()
 
 
 class Backend:
@@ -134,74 +134,73 @@
         self, feed: Callable[[Event], None], most: int, room: int, idle_most: float, connect_within: float,
         copy_of: Callable[[dict[str, str]], Any] | None = None, reports: bool = False,
     ):  # fmt: skip
-        self.feed, self.most, self.room, self.copy_of = feed, most, Room(room), copy_of
+        self.feed, self.most, self.room, self.copy_of = feed, most, ByteBudget(room), copy_of
         self.reports = reports  # whether answers are read for them
         self.idle_most, self.connect_within = idle_most * IDLE_SHARE, connect_within
-        self.pool: dict[str, list[Line]] = {}  # by the cache's id, last used last
+        self.pool: dict[str, list[CacheConnection]] = {}  # by the cache's id, last used last
         self.open = 0  # connections, and those that are coming up
-        self.asked: dict[tuple[int, int], Line] = {}  # by ticket and hop
+        self.asked: dict[tuple[int, int], CacheConnection] = {}  # by ticket and hop
 
-    async def _connect(self, name: str, address: tuple[str, int]) -> Line | Failure:
+    async def _connect(self, name: str, address: tuple[str, int]) -> CacheConnection | Failure:
         """A connection, pooled or new."""
-        lines = self.pool.get(name, [])
-        while at := bisect_right(lines, anyio.current_time() - REST, key=lambda line: line.idle_since):
-            line = lines.pop(at - 1)
-            fresh = anyio.current_time() - line.idle_since < self.idle_most
-            if line.address == address and fresh and line.quiet():
-                return line
-            await self._close(line)
-        if self.open >= self.most and not await self._make_room():
+        connections = self.pool.get(name, [])
+        while at := bisect_right(
+            connections, anyio.current_time() - REST, key=lambda connection: connection.idle_since
+        ):
+            connection = connections.pop(at - 1)
+            fresh = anyio.current_time() - connection.idle_since < self.idle_most
+            if connection.address == address and fresh and connection.quiet():
+                return connection
+            self._close(connection)
+        if self.open >= self.most and not self._make_room():
             return Failure(Stage.CONNECTING, Cause.NO_ROOM)
         self.open += 1
-        line = None
+        connection = None
         try:
             with anyio.fail_after(self.connect_within):
-                stream = await anyio.connect_tcp(*address)
-            line = Line(stream, address, anyio.current_time())
-            return line
+                stream = await connect(address)
+            connection = CacheConnection(stream, address, anyio.current_time())
+            return connection
         except TimeoutError:
             return Failure(Stage.CONNECTING, Cause.REFUSED, "no connection in time")
         except OSError as error:
-            cause = error.__cause__ or error
-            found = getattr(cause, "errno", None)
-            why = Cause.NO_ROOM if found in OUR_SHORTAGE else Cause.REFUSED
-            return Failure(Stage.CONNECTING, Cause.RESET if found in BROKEN_OFF else why, str(cause))
-        except AttributeError:  # what the loop's stream raises where the other side has reset it already
-            return Failure(Stage.CONNECTING, Cause.RESET, "gone at once")
+            why = Cause.NO_ROOM if error.errno in OUR_SHORTAGE else Cause.REFUSED
+            return Failure(Stage.CONNECTING, Cause.RESET if error.errno in BROKEN_OFF else why, str(error))
         finally:
-            if line is None:
+            if connection is None:
                 self.open -= 1
 
-    async def _make_room(self) -> bool:
+    def _make_room(self) -> bool:
         """Closes the pooled connection that has been idle for longest."""
-        idle = [(lines[0].idle_since, name) for name, lines in self.pool.items() if lines]
+        idle = [(connections[0].idle_since, name) for name, connections in self.pool.items() if connections]
         if not idle:
             return False
-        await self._close(self.pool[min(idle)[1]].pop(0))
+        self._close(self.pool[min(idle)[1]].pop(0))
         return True
 
-    async def _close(self, line: Line) -> None:
+    def _close(self, connection: CacheConnection) -> None:
         self.open -= 1
-        await line.close()
+        connection.stream.close()
 
-    async def _keep(self, name: str, line: Line) -> None:
-        if not line.reusable:
-            await self._close(line)
+    def _keep(self, name: str, connection: CacheConnection) -> None:
+        if not connection.reusable:
+            self._close(connection)
             return
-        line.http.start_next_cycle()
-        line.idle_since = anyio.current_time()
-        self.pool.setdefault(name, []).append(line)
+        connection.http.start_next_cycle()
+        connection.idle_since, connection.used = anyio.current_time(), True
+        self.pool.setdefault(name, []).append(connection)
 
     async def dispatch(
         self, ticket: int, hop: int, name: str, address: tuple[str, int],
-        order: Callable[[], Awaitable[Write]], given: Callable[[Callable[[], None]], None],
+        heard: Callable[[], Awaitable[None]], order: Callable[[], Awaitable[Write]],
+        given: Callable[[Callable[[], None]], None],
     ) -> None:  # fmt: skip
-        """One dispatch from connecting to its end; order waits for what to write, given takes what to do once
-        the client has the answer.
+        """One dispatch from connecting to its end; heard waits until what its client has said is read, order
+        for what to write, and given takes what to do once the client has the answer.
 
         An answer is held until it is whole: one that breaks off may then be asked for again elsewhere.
         """
-        line, stage, ended, held = None, Stage.CONNECTING, False, 0
+        connection, stage, ended, held = None, Stage.CONNECTING, False, 0
         body, interim = bytearray(), 0
 
         def over(cause: Cause | None = None, detail: object = "") -> None:
@@ -211,17 +210,26 @@
             self.feed(Over(ticket, hop, failure, bytes(body)))
 
         try:
-            found = await self._connect(name, address)
-            if isinstance(found, Failure):
-                over(found.cause, found.detail)
-                return
-            line, stage = found, Stage.CONNECTED
-            self.asked[ticket, hop] = line
+            while True:
+                found = await self._connect(name, address)
+                if isinstance(found, Failure):
+                    over(found.cause, found.detail)
+                    return
+                connection = self.asked[ticket, hop] = found
+                await heard()
+                if connection.quiet():
+                    break
+                if not connection.used:
+                    over(Cause.RESET, "ended, or spoke, before it was asked")
+                    return
+                self._close(connection)  # a pooled one that its cache has just ended: the next is asked
+                connection = None
+            stage = Stage.CONNECTED
             self.feed(Ready(ticket, hop))
             write = await order()
             stage = Stage.ASKING
-            await line.ask(write.target, write.fields, write.body)
-            while not isinstance(event := await line.next(), h11.EndOfMessage):
+            await connection.ask(write.target, write.fields, write.body)
+            while not isinstance(event := await connection.next(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     stage = Stage.ANSWERED
                     head = read_head(ticket, hop, event, self.copy_of, self.reports)
@@ -235,11 +243,13 @@
                     body += event.data
                 elif (interim := interim + 1) > INTERIM_MOST:
                     raise Unreadable("1xx without end")
+            self.room.give(held - len(body))  # of an answer that told no length
+            held = len(body)
             over()
-            kept, line = line, None
+            kept, connection = connection, None
             given(partial(self.room.give, held))
             held = 0
-            await self._keep(name, kept)
+            self._keep(name, kept)
         except (h11.RemoteProtocolError, Unreadable) as error:
             over(Cause.MALFORMED, error)
         except LOST as error:
@@ -250,29 +260,29 @@
         finally:
             self.asked.pop((ticket, hop), None)
             self.room.give(held)
-            if line is not None:
-                await self._close(line)
+            if connection is not None:
+                self._close(connection)
 
     def drop(self, ticket: int, hop: int) -> None:
         """Ends a dispatch's connection now, ahead of its task: the next one may go out at once."""
-        if line := self.asked.get((ticket, hop)):
-            line.shut()
+        if connection := self.asked.get((ticket, hop)):
+            connection.stream.shut()
 
     async def probe(self, probe: Probe) -> None:
-        ending, line = Ending.ERROR, None
+        ending, connection = Ending.ERROR, None
         try:
             with anyio.move_on_after(probe.timeout / 1e6) as scope:
                 found = await self._connect(probe.name, probe.address)
                 if isinstance(found, Failure):
                     ending = found.ending()
                     return
-                line = found
-                await line.ask("/alive", [], b"")
-                while not isinstance(event := await line.next(), h11.EndOfMessage):
+                connection = found
+                await connection.ask("/alive", [], b"")
+                while not isinstance(event := await connection.next(), h11.EndOfMessage):
                     if isinstance(event, h11.Response) and event.status_code == 200:
                         ending = Ending.DONE
-                kept, line = line, None
-                await self._keep(probe.name, kept)
+                kept, connection = connection, None
+                self._keep(probe.name, kept)
             if scope.cancelled_caught:
                 ending = Ending.LATE
         except LOST:
@@ -280,23 +290,23 @@
         except Exception:
             ending = Ending.ERROR
         finally:
-            if line is not None:
-                await self._close(line)
+            if connection is not None:
+                self._close(connection)
             self.feed(Probed(probe.name, ending))
 
-    async def forget(self, name: str) -> None:
-        for line in self.pool.pop(name, []):
-            await self._close(line)
+    def forget(self, name: str) -> None:
+        for connection in self.pool.pop(name, []):
+            self._close(connection)
 
     async def sweep(self) -> None:
         """Closes what has been idle for nearly as long as is told."""
         while True:
             await anyio.sleep(self.idle_most / 10)
             before = anyio.current_time() - self.idle_most
-            for name, lines in list(self.pool.items()):  # others come up meanwhile
-                while lines and lines[0].idle_since < before:
-                    await self._close(lines.pop(0))
-                if not lines and self.pool.get(name) is lines:
+            for name, connections in list(self.pool.items()):  # others come up meanwhile
+                while connections and connections[0].idle_since < before:
+                    self._close(connections.pop(0))
+                if not connections and self.pool.get(name) is connections:
                     del self.pool[name]
 
 
