--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -351,18 +352,27 @@
 """
 
 
-def played(world, script, scene):
-    """Runs a scene beside a router that is a process of its own; gives its exit status and what it said."""
+def played(world, script, scene, descriptors=None, **other):
+    """Runs a scene beside a router that is a process of its own; gives its exit status and what it said.
+
+    :param descriptors: as many as the process may have.
+    """
+
+    def few():
+        if descriptors:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     world.frames = []
 
     async def run():
         with anyio.fail_after(20):
             async with anyio.create_task_group() as tasks:
                 cache, port = await world.listen(tasks, world.cache), await free_port()
-                world.tell(cache, await world.listen(tasks, world.journal))
+                told = {"journal": await world.listen(tasks, world.journal)} | other
+                world.tell(cache, **told)
                 environ = os.environ | {"NODE_CONFIG": str(world.path), "NODE_LISTEN": f"127.0.0.1:{port}"}
                 command = [sys.executable, *script]
-                router = subprocess.Popen(command, env=environ, stderr=subprocess.PIPE)
+                router = subprocess.Popen(command, env=environ, stderr=subprocess.PIPE, preexec_fn=few)
                 try:
                     await scene(router, lambda: world.connect(port))
                     said = (await anyio.to_thread.run_sync(router.communicate))[1].decode()
@@ -512,3 +522,76 @@
         await until(lambda: mine.closing)
 
     world.play(scene)
+
+
+# -- clients that send badly -----------------------------------------------------------------------
+
+
+def test_a_req_that_trickles_in_is_answered_and_others_are_served_meanwhile(world):
+    async def scene(connect):
+        slow, other = await connect(), await connect()
+        for at, byte in enumerate(slow.req(1)):
+            await slow.stream.send(bytes([byte]))
+            if at % 50 == 0:
+                await other.begin(100 + at)
+                assert "200 OK" in await other.end()
+        assert "200 OK" in await slow.end()
+
+    world.play(scene)
+
+
+def test_clients_that_send_much_and_leave_leave_nothing_behind(world):
+    """Whole reqs, half ones, records for nobody: none is begun, and what they held is given back."""
+
+    async def scene(connect):
+        service = world.service
+        room = service.front.room
+        for id in range(1, 21):
+            flood = await connect()
+            data = flood.req(id) + flood.req(2, body=bytes(4_000), whole=False)
+            data += fastcgi.record(fastcgi.STDIN, 99, bytes(8_000))
+            with contextlib.suppress(BlockingIOError):
+                os.write(raw(flood).fileno(), data)
+            close(flood)
+        await until(lambda: not service.front.open)
+        await settled(world)
+        assert service.front.room == room and not service.front.clients and not service.reducer.ids
+        other = await connect()
+        await other.begin(50)
+        assert "200 OK" in await other.end()
+        assert [line for line in world.asked if "GET" in line and f"{50:016x}" not in line] == []
+
+    world.play(scene)
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_nobody_out_while_discovery_is_down(world):
+    """At the lowest limit that may be told, and with no descriptor more than that."""
+
+    async def scene(router, connect):
+        idle = [await connect() for _ in range(60)]
+        for round in (1, 2):
+            new = await connect()
+            await new.begin(1, path="/health")
+            assert "200" in await new.end()  # by what the configuration knows
+            await new.begin(10 * round)
+            assert "200 OK" in await new.end()
+            idle += [await connect() for _ in range(30)]
+            if round == 1:
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
+                tasks.start_soon(listener.serve, world.journal)
+                await until(lambda: "journal from 1" in world.asked)
+        router.send_signal(signal.SIGTERM)
+
+    async def whole(router, connect):
+        nonlocal tasks
+        async with anyio.create_task_group() as tasks:
+            await scene(router, connect)
+            await anyio.to_thread.run_sync(router.wait)
+            tasks.cancel_scope.cancel()
+
+    tasks, port = None, anyio.run(free_port)
+    status, said = played(
+        world, ["-m", "quartzrouter"], whole, descriptors=64, journal=f"127.0.0.1:{port}",
+        limits={"sockets": 64},
+    )  # fmt: skip
+    assert status == 0 and "Traceback" not in said and "accept failed" not in said
