Listeners are closed once nobody waits for them; no room names a time to come back

Found by reading the mends again: the end of the process closed a listener while its task still waited for the descriptor; one that a connection took up in that turn would have lost its place in the loop with it (serve.py, _exit). Now the accepting task ends first. And a req without room for its bytes was denied without a time to come back where settings allow one (front.py, _more); the decisions name it (control.come_back), as for their own denials.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -392,6 +392,11 @@
         return True
 
 
+def come_back(permits: Permits) -> int:
+    """The time that is named to whoever is denied; 0: none may be."""
+    return min(permits.longest_wait, S // 2)
+
+
 class Router:
     def __init__(
         self, me: int, seed: int, home: str, vhosts: list[VHost], permits: Permits, cold_cache: ColdStart,
@@ -700,7 +705,7 @@
     def _give_up(self, flight: Flight) -> Deny | Abort:
         self._end(flight)
         deny = flight.vhost is None or self.retries.may_deny(flight)
-        return Deny(min(self.permits.longest_wait, S // 2)) if deny else Abort()
+        return Deny(come_back(self.permits)) if deny else Abort()
 
     def _hold(self, flight: Flight, now: int) -> Hold | Deny | Abort:
         if now + HOLD >= min(flight.deadline, flight.came + self._target(flight)):
--- a/quartzrouter/net/front.py
+++ b/quartzrouter/net/front.py
@@ -263,7 +263,7 @@
             self.refuse(id, error)
         except NoRoom:
             self.front.report.say("client", "no room for the bytes of a req")
-            self._end(id, answer.denied(0))
+            self._end(id, answer.denied(self.front.come_back))
         else:
             self.front.room -= intake.size - before
 
@@ -404,9 +404,10 @@
 class Front:
     def __init__(
         self, feed: Callable[[Event], None], most: int, room: int, call: Callable[[dict[str, str]], Call],
-        report: Report,
+        report: Report, come_back: int = 0,
     ):  # fmt: skip
         self.feed, self.most, self.call, self.report = feed, most, call, report
+        self.come_back = come_back  # us, named to a client that finds no room; 0: none is
         self.room = room  # bytes of reqs that may still be held
         self.tickets = 0
         self.clients: dict[int, ClientConnection] = {}  # by ticket
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -64,7 +64,9 @@
         control.log.setLevel(logging.INFO)
         self.reducer = self._reducer()
         clients = post.sockets // 3
-        self.front = Front(self.feed, clients, post.memory // REQS_SHARE, self._reader(), self.report)
+        come_back = control.come_back(post.briefing.arguments["permits"])
+        room = post.memory // REQS_SHARE
+        self.front = Front(self.feed, clients, room, self._reader(), self.report, come_back)
         self.backend = Backend(
             self.feed, post.sockets - clients - RESERVE, post.memory // HELD_SHARE,
             post.briefing.idle_most / 1e6, post.briefing.connect_within / 1e6, self._copy_of(),
@@ -204,6 +206,10 @@
             async with anyio.create_task_group() as tasks:
                 for raw in self.listening:
                     tasks.start_soon(self._accept, raw)
+        while self._accept_all_waiting():  # nobody waits for these descriptors any more
+            pass
+        while self.listening:
+            self.listening.pop().close()
 
     async def _accept(self, listener: socket.socket) -> None:
         while True:
@@ -256,10 +262,8 @@
                 break
             await anyio.sleep(FLUSH_EVERY)
         self.accepting.cancel()
-        while self._accept_all_waiting():
-            pass
-        for listener in self.listening:
-            listener.close()
+        while self.listening:
+            await anyio.sleep(FLUSH_EVERY)
         longest = max(vhost.client_timeout for vhost in self.post.briefing.vhosts)
         with anyio.move_on_after(longest / 1e6):  # later nobody waits for an answer
             while self.front.open or self.front.coming:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -595,3 +595,15 @@
         limits={"sockets": 64},
     )  # fmt: skip
     assert status == 0 and "Traceback" not in said and "accept failed" not in said
+
+
+def test_a_client_that_finds_no_room_is_told_when_to_come_back(world):
+    async def scene(connect):
+        client, said = await connect(), b""
+        for id in range(1, 5):
+            await client.begin(id, body=bytes(40_000), whole=False)
+        while b"Status" not in said:
+            said += await client.stream.receive()
+        assert b"Status: 503" in said and b"X-Pushback-Ms: 500\r\n" in said
+
+    world.play(scene, limits={"sockets": 128, "memory_mb": 1})
