--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -1,4 +1,4 @@
-"""Many routers started at once on shared cores, with nobody to tell them of the caches: what they know will do."""
+"""Many routers started at once on shared cores, with nobody to tell them of the caches: they know enough."""
 
 import os
 import subprocess
