Many reloads push out no stop that waits to be taken up

Seen by reading the change again: signals that wait were kept in a deque of 64, which drops the oldest (signals.py, Signals.received). A process too busy to take up a SIGTERM lost it to 64 SIGHUPs behind it, though the module's first line says that none is lost. Now a signal beyond the bound is kept only if none of its kind waits. Ruled out: the system's own merging of equal signals, which loses no kind.

--- a/quartzrouter/signals.py
+++ b/quartzrouter/signals.py
@@ -8,14 +8,14 @@
 from collections.abc import Callable
 
 LISTENED = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-KEPT = 64  # that wait to be taken up: more say nothing new
+KEPT = 64  # that wait to be taken up; beyond, only what is not among them: more say nothing new
 
 
 class Signals:
     """What has come, in order; as a context it listens, and leaves the handlers before as they were."""
 
     def __init__(self) -> None:
-        self.received: deque[signal.Signals] = deque(maxlen=KEPT)
+        self.received: deque[signal.Signals] = deque()
         self.wake: Callable[[], None] | None = None  # of whoever takes them up
         self.before: list[dict[int, object]] = []  # handlers, one entry for each time that it began to listen
 
@@ -29,7 +29,8 @@
             signal.signal(number, handler)
 
     def _note(self, number: int, _: object) -> None:
-        self.received.append(signal.Signals(number))
+        if len(self.received) < KEPT or number not in self.received:  # none pushes out one of another kind
+            self.received.append(signal.Signals(number))
         if self.wake:
             self.wake()
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 
 from conftest import SETUP, Play, frame
 from quartzrouter.net import backend, fastcgi, front, journal, progress, serve, stream
-from quartzrouter.signals import Signals
+from quartzrouter.signals import KEPT, Signals
 from standins import WHOLE, free_port
 
 FULL = b"HTTP/1.1 503 Busy\r\nX-No-Effect: 1\r\nContent-Length: 0\r\n\r\n"
@@ -607,3 +607,15 @@
         assert b"Status: 503" in said and b"X-Pushback-Ms: 500\r\n" in said
 
     world.play(scene, limits={"sockets": 128, "memory_mb": 1})
+
+
+def test_many_reloads_push_out_no_stop_that_waits():
+    """What is kept has a bound, and the oldest went first: a stop that a busy process had not taken up."""
+    with Signals() as signals:
+        os.kill(os.getpid(), signal.SIGTERM)
+        for _ in range(1_000):
+            os.kill(os.getpid(), signal.SIGHUP)
+        assert signals.ending and len(signals.received) <= KEPT + 2
+        for _ in range(1_000):
+            os.kill(os.getpid(), signal.SIGINT)
+        assert signal.SIGHUP in signals.received and len(signals.received) <= KEPT + 2
