A cache's second answer that comes after the next req is not taken for that req's

Lines: Backend.dispatch, which reads the next answer without asking whose it is. Ruled out: an id in answers (the protocol has none), a longer rest for all (connections cost, and no rest ends the crossing).

Change: a connection knows the copy that its last answer named, by tag, time and length. The same copy for another part, or for the same part where the req allows none that old, can only be the last answer again: that attempt ends as malformed, may have run, and its connection is closed. An answer that names no copy (errors, writes) can't be told apart, so its connection rests for 50 ms. Stand-ins give every part a tag of its own, as caches do.

--- a/quartzrouter/net/backend.py
+++ b/quartzrouter/net/backend.py
@@ -1,12 +1,14 @@
 """Dispatches and probes: HTTP/1.1 to the caches on pooled connections, one req at a time on each."""
 
 import errno
+import math
 import socket
-from bisect import bisect_right
+from bisect import bisect_right, insort
 from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Any
+from operator import attrgetter
+from typing import Any, NamedTuple
 
 import anyio
 import h11
@@ -23,6 +25,7 @@
 ANSWER_MOST = 240_000  # bytes: no part of an object is longer
 INTERIM_MOST = 8  # answers of 1xx ahead of the one that counts: more are no answer
 REST = 0.005  # s until a connection carries its next req: what was written behind an answer has come by then
+REST_UNMARKED = 0.05  # after one that names no copy: said once more, it couldn't be told from the next one
 IDLE_SHARE = 0.8  # of the told idle time: then a pooled connection is closed, before its cache does so
 OUR_SHORTAGE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 BROKEN_OFF = (errno.ECONNRESET, errno.EPIPE, errno.ECONNABORTED)  # somebody had listened
@@ -39,12 +42,20 @@
 ASKED = h11.Request(method="GET", target="/", headers=[("Host", "cache")])
 
 
+class Last(NamedTuple):
+    """An answer, as far as one that comes behind it may have to be told from it."""
+
+    target: str
+    came: float  # s of the loop's clock
+    copy: tuple[str | None, ...]  # what names it; empty: nothing does
+
+
 class CacheConnection:
     """One connection to a cache."""
 
     def __init__(self, stream: Stream, address: tuple[str, int], now: float):
-        self.stream, self.address, self.idle_since = stream, address, now
-        self.used = False  # it has carried a req
+        self.stream, self.address, self.ready = stream, address, now  # s, from when it may carry a req
+        self.last: Last | None = None  # answer that came on it
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
         self.incoming, self.outgoing = Ring(INCOMING), Ring(OUTGOING)
         stream.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
@@ -84,6 +95,17 @@
             raise end
         return event
 
+    def repeats(self, write: Write, asked: float, copy: tuple[str | None, ...]) -> bool:
+        """Whether an answer can only be the last one, said once more: its copy is another part's, or was here
+        longer ago than this req allows.
+
+        :param asked: s of the loop's clock, when the req went out.
+        """
+        if self.last is None or not copy or copy != self.last.copy:
+            return False
+        limit = next((int(value) / 1e3 for name, value in write.fields if name == "X-Fresh-Ms"), math.inf)
+        return write.target != self.last.target or asked - self.last.came >= limit
+
     def quiet(self) -> bool:
         """Nothing has come since the last answer, no end either: the next req goes out on a live one."""
         return self.stream.pending() is Pending.QUIET
@@ -95,6 +117,9 @@
         return done and not len(self.incoming) and not self.http.trailing_data[0]
 
 
+READY = attrgetter("ready")
+
+
 class ByteBudget:
     """The bytes that answers may take up until their clients have them; who finds no room waits, in order.
 
@@ -144,11 +169,9 @@
     async def _connect(self, name: str, address: tuple[str, int]) -> CacheConnection | Failure:
         """A connection, pooled or new."""
         connections = self.pool.get(name, [])
-        while at := bisect_right(
-            connections, anyio.current_time() - REST, key=lambda connection: connection.idle_since
-        ):
+        while at := bisect_right(connections, now := anyio.current_time(), key=READY):
             connection = connections.pop(at - 1)
-            fresh = anyio.current_time() - connection.idle_since < self.idle_most
+            fresh = now - connection.ready < self.idle_most
             if connection.address == address and fresh and connection.quiet():
                 return connection
             self._close(connection)
@@ -172,7 +195,7 @@
 
     def _make_room(self) -> bool:
         """Closes the pooled connection that has been idle for longest."""
-        idle = [(connections[0].idle_since, name) for name, connections in self.pool.items() if connections]
+        idle = [(connections[0].ready, name) for name, connections in self.pool.items() if connections]
         if not idle:
             return False
         self._close(self.pool[min(idle)[1]].pop(0))
@@ -182,13 +205,16 @@
         self.open -= 1
         connection.stream.close()
 
-    def _keep(self, name: str, connection: CacheConnection) -> None:
+    def _keep(
+        self, name: str, connection: CacheConnection, target: str, copy: tuple[str | None, ...]
+    ) -> None:  # fmt: skip
         if not connection.reusable:
             self._close(connection)
             return
         connection.http.start_next_cycle()
-        connection.idle_since, connection.used = anyio.current_time(), True
-        self.pool.setdefault(name, []).append(connection)
+        connection.last = Last(target, anyio.current_time(), copy)
+        connection.ready = connection.last.came + (REST if copy else REST_UNMARKED)
+        insort(self.pool.setdefault(name, []), connection, key=READY)
 
     async def dispatch(
         self, ticket: int, hop: int, name: str, address: tuple[str, int],
@@ -201,7 +227,7 @@
         An answer is held until it is whole: one that breaks off may then be asked for again elsewhere.
         """
         connection, stage, ended, held = None, Stage.CONNECTING, False, 0
-        body, interim = bytearray(), 0
+        body, interim, copy = bytearray(), 0, ()
 
         def over(cause: Cause | None = None, detail: object = "") -> None:
             nonlocal ended
@@ -219,7 +245,7 @@
                 await heard()
                 if connection.quiet():
                     break
-                if not connection.used:
+                if connection.last is None:
                     over(Cause.RESET, "ended, or spoke, before it was asked")
                     return
                 self._close(connection)  # a pooled one that its cache has just ended: the next is asked
@@ -227,12 +253,16 @@
             stage = Stage.CONNECTED
             self.feed(Ready(ticket, hop))
             write = await order()
-            stage = Stage.ASKING
+            stage, asked = Stage.ASKING, anyio.current_time()
             await connection.ask(write.target, write.fields, write.body)
             while not isinstance(event := await connection.next(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     stage = Stage.ANSWERED
-                    head = read_head(ticket, hop, event, self.copy_of, self.reports)
+                    fields = fields_of(event)
+                    copy = named(fields)
+                    if connection.repeats(write, asked, copy):
+                        raise Unreadable("the answer before it, once more")
+                    head = read_head(ticket, hop, event.status_code, fields, self.copy_of, self.reports)
                     self.feed(head)
                     need = ANSWER_MOST if head.length is None else head.length
                     await self.room.take(need)
@@ -249,7 +279,7 @@
             kept, connection = connection, None
             given(partial(self.room.give, held))
             held = 0
-            self._keep(name, kept)
+            self._keep(name, kept, write.target, copy)
         except (h11.RemoteProtocolError, Unreadable) as error:
             over(Cause.MALFORMED, error)
         except LOST as error:
@@ -282,7 +312,7 @@
                     if isinstance(event, h11.Response) and event.status_code == 200:
                         ending = Ending.DONE
                 kept, connection = connection, None
-                self._keep(probe.name, kept)
+                self._keep(probe.name, kept, "/alive", ())
             if scope.cancelled_caught:
                 ending = Ending.LATE
         except LOST:
@@ -304,7 +334,7 @@
             await anyio.sleep(self.idle_most / 10)
             before = anyio.current_time() - self.idle_most
             for name, connections in list(self.pool.items()):  # others come up meanwhile
-                while connections and connections[0].idle_since < before:
+                while connections and connections[0].ready < before:
                     self._close(connections.pop(0))
                 if not connections and self.pool.get(name) is connections:
                     del self.pool[name]
@@ -314,12 +344,23 @@
     """An answer that HTTP allows and the protocol doesn't; stops at the connection."""
 
 
+def fields_of(response: h11.Response) -> dict[str, str]:
+    """By name, in small letters."""
+    return {name.decode("latin-1"): value.decode("latin-1") for name, value in response.headers}
+
+
+def named(fields: dict[str, str]) -> tuple[str | None, ...]:
+    """What tells the copy in an answer from others; empty where it says none."""
+    if not fields.get("x-tag"):
+        return ()
+    return fields["x-tag"], fields.get("x-minted"), fields.get("content-length")
+
+
 def read_head(
-    ticket: int, hop: int, response: h11.Response, copy_of: Callable[[dict[str, str]], Any] | None = None,
-    reports: bool = False,
+    ticket: int, hop: int, status: int, fields: dict[str, str],
+    copy_of: Callable[[dict[str, str]], Any] | None = None, reports: bool = False,
 ) -> Head:  # fmt: skip
-    fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in response.headers}
-    length, status = fields.get("content-length"), response.status_code
+    length = fields.get("content-length")
     if status == 200 and length is None and "chunked" not in fields.get("transfer-encoding", ""):
         raise Unreadable("an answer without a length")
     if length is not None and int(length) > ANSWER_MOST:
--- a/quartzrouter/stand/counting.py
+++ b/quartzrouter/stand/counting.py
@@ -7,7 +7,7 @@
 
 from quartzrouter.stand.history import History
 from quartzrouter.standin.boxes import LOST
-from quartzrouter.standin.loopback import WHOLE, Server
+from quartzrouter.standin.loopback import WHOLE, Server, tagged
 
 ALIVE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 LOST_ANSWER = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
@@ -54,7 +54,7 @@
             else:
                 await anyio.sleep(delay)
             wrong = self.chance.random() < self.bad
-            await stream.send(LOST_ANSWER if wrong else WHOLE)
+            await stream.send(LOST_ANSWER if wrong else tagged(WHOLE, head))
             how = "failed" if wrong else "answered"
         finally:
             self.history.add("leave", self.name, path=path, how=how)
--- a/quartzrouter/standin/loopback.py
+++ b/quartzrouter/standin/loopback.py
@@ -1,6 +1,7 @@
 """A client that speaks FastCGI, and caches that answer over HTTP/1.1, by the public pages of both."""
 
 import random
+import zlib
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 
@@ -9,11 +10,17 @@
 from quartzrouter.net import fastcgi
 from quartzrouter.net.ring import Ring
 
-MARKS = b"X-Tag: 4be0c1927d55a6f3\r\nX-Minted: 1764576000123\r\n"
+TAG = b"4be0c1927d55a6f3"
+MARKS = b"X-Tag: " + TAG + b"\r\nX-Minted: 1764576000123\r\n"
 PORTS = 20_000, 32_000
 WHOLE = b"HTTP/1.1 200 OK\r\n" + MARKS + b"Content-Length: 5\r\n\r\nabcde"
 
 
+def tagged(answer: bytes, head: bytes) -> bytes:
+    """The answer to a req, with a tag that is that part's alone, as caches tell their copies apart."""
+    return answer.replace(TAG, b"%016x" % zlib.crc32(head.split(b" ", 2)[1]))
+
+
 def begin(role=fastcgi.RESPONDER):
     return fastcgi.BEGIN, bytes((0, role, fastcgi.KEEP_CONN, 0, 0, 0, 0, 0))
 
@@ -135,7 +142,7 @@
                 self.most = max(self.most, self.open)
                 try:
                     await anyio.sleep(self.delay())
-                    await stream.send(WHOLE)
+                    await stream.send(tagged(WHOLE, head))
                 except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                     return
                 finally:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -7,9 +7,9 @@
 from conftest import SETUP
 from quartzrouter.briefing import Post, read
 from quartzrouter.net import serve
-from quartzrouter.standin.loopback import MARKS, WHOLE, Client, begin, free_port, heads, listen
+from quartzrouter.standin.loopback import MARKS, TAG, WHOLE, Client, begin, free_port, heads, listen, tagged
 
-__all__ = ["MARKS", "WHOLE", "Client", "World", "begin", "free_port"]
+__all__ = ["MARKS", "TAG", "WHOLE", "Client", "World", "begin", "free_port", "tagged"]
 
 
 class World:
@@ -41,7 +41,7 @@
                     elif isinstance(part, float):
                         await anyio.sleep(part)
                     else:
-                        await stream.send(part)
+                        await stream.send(tagged(part, head))
 
     async def journal(self, stream):
         async with stream:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -96,7 +96,8 @@
     ):  # fmt: skip
         response = h11.Response(status_code=status, headers=fields)
         try:
-            said = backend.read_head(1, 0, response, reports=True)
+            told = backend.fields_of(response)
+            said = backend.read_head(1, 0, response.status_code, told, reports=True)
         except backend.Unreadable as error:
             said = f"Unreadable {error}"
         trace.append(f"{status} {fields}: {said}")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,10 +4,12 @@
 """
 
 import contextlib
+import json
 import os
 import resource
 import signal
 import socket
+import struct
 import subprocess
 import sys
 
@@ -17,7 +19,7 @@
 from conftest import SETUP, Play, frame
 from quartzrouter.net import backend, fastcgi, front, journal, progress, serve, stream
 from quartzrouter.signals import KEPT, Signals
-from standins import WHOLE, free_port
+from standins import TAG, WHOLE, free_port
 
 FULL = b"HTTP/1.1 503 Busy\r\nX-No-Effect: 1\r\nContent-Length: 0\r\n\r\n"
 BIG = WHOLE.replace(b"5\r\n\r\nabcde", b"240000\r\n\r\n") + bytes(240_000)
@@ -239,7 +241,7 @@
         client = await connect()
         await client.begin(1, path="/rpc/sale")
         assert "200 OK" in await client.end()
-        await anyio.sleep(2 * backend.REST)
+        await anyio.sleep(2 * backend.REST_UNMARKED)
 
         async def late(self, ticket):
             if not ends:
@@ -256,6 +258,73 @@
     world.play(scene)
 
 
+FIRST = WHOLE.replace(b"abcde", b"first").replace(TAG, b"00000000000000f1")
+
+
+def test_a_second_answer_that_comes_after_the_next_req_is_not_that_reqs(world):
+    """It had not come when the connection was looked at: the next req's client got another part's bytes."""
+    gate = anyio.Event()
+
+    async def scene(connect):
+        client, same = await connect(), {"HTTP_X_SUBJECT": f"{7:016x}"}
+        world.answers = {7: [FIRST]}
+        await client.begin(1, **same)
+        assert "first" in await client.end()
+        await anyio.sleep(2 * backend.REST)
+        world.answers = {7: [gate, FIRST, WHOLE]}  # the cache has read the next req by then
+        await client.begin(2, HTTP_X_CHUNK="1", **same)
+        await until(lambda: asked(world, 7) == 2)
+        assert world.connections == 1
+        world.answers = {}
+        gate.set()
+        said = await client.end()
+        assert "200 OK" in said and "abcde" in said
+        assert asked(world, 7) == 3  # of another cache, on a connection of its own
+
+    world.play(scene)
+
+
+@pytest.mark.parametrize("purged", [False, True])
+def test_a_second_answer_to_a_req_for_the_same_part_is_no_older_than_it_may_be(world, purged):
+    """Where it can't be told from a cache's next answer it will do as well, but not after a purge."""
+    gate = anyio.Event()
+
+    async def scene(connect):
+        client, same = await connect(), {"HTTP_X_SUBJECT": f"{7:016x}"}
+        world.answers = {7: [FIRST]}
+        await client.begin(1, **same)
+        assert "first" in await client.end()
+        await anyio.sleep(2 * backend.REST)
+        if purged:
+            world.service.feed(journal.Purge(None, f"{7:016x}", world.service.time()))
+        world.answers = {7: [gate, FIRST, WHOLE]}
+        await client.begin(2, **same)
+        await until(lambda: asked(world, 7) == 2)
+        world.answers = {7: [WHOLE]}
+        gate.set()
+        assert ("abcde" if purged else "first") in await client.end()
+
+    world.play(scene)
+
+
+@pytest.mark.parametrize("answer", [FULL, b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nsold"])
+def test_a_connection_rests_longer_after_an_answer_that_names_no_copy(world, monkeypatch, answer):
+    """Once more on the next req it says that this one is done, or that it never ran."""
+    monkeypatch.setattr(backend, "REST_UNMARKED", 3_600.0)
+
+    async def scene(connect):
+        client = await connect()
+        world.answers = {n: [answer] for n in range(1, 4)}
+        for id in (1, 2, 3):
+            await client.begin(id, path="/rpc/sale")
+            await client.end()
+            await anyio.sleep(2 * backend.REST)
+        attempts = sum(line.startswith("GET /x/sale/") for line in world.asked)
+        assert world.connections == attempts >= 3
+
+    world.play(scene)
+
+
 def test_large_answers_have_their_turn():
     """Small ones took the bytes that were given back, and a large one waited for ever."""
     order = []
@@ -619,3 +688,172 @@
         for _ in range(1_000):
             os.kill(os.getpid(), signal.SIGINT)
         assert signal.SIGHUP in signals.received and len(signals.received) <= KEPT + 2
+
+
+# -- reloads, late connections, floods ---------------------------------------------------------------
+
+
+@pytest.mark.parametrize("at", ["connecting", "asked", "half an answer", "stopping"])
+def test_a_reload_between_two_steps_of_an_attempt_changes_nothing_about_it(world, monkeypatch, at):
+    """The new journal service is followed, and the req has its one answer."""
+    real, come, gate = stream.connect, [], anyio.Event()
+
+    async def held(address):
+        come.append(address)
+        await gate.wait()
+        return await real(address)
+
+    async def scene(connect):
+        client, service = await connect(), world.service
+        if at == "connecting":
+            monkeypatch.setattr(backend, "connect", held)
+        world.answers = {1: [WHOLE[:-2], gate, WHOLE[-2:]] if at == "half an answer" else [gate, WHOLE]}
+        await client.begin(1)
+        await until(lambda: come or asked(world, 1))
+        async with anyio.create_task_group() as tasks:
+            if at == "stopping":
+                os.kill(os.getpid(), signal.SIGTERM)
+                await until(lambda: service.reducer.stopping)
+            there, told = await world.listen(tasks, world.journal), json.loads(world.path.read_text())
+            world.path.write_text(json.dumps(told | {"journal": there}))
+            before = world.asked.count("journal from 1")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: world.asked.count("journal from 1") > before)
+            gate.set()
+            assert "200 OK b'abcde' end 0 0" in await client.end()
+            assert asked(world, 1) == 1
+            tasks.cancel_scope.cancel()
+
+    world.play(scene)
+
+
+@pytest.mark.parametrize("at", ["connecting", "half a frame"])
+def test_a_reload_leaves_what_the_old_journal_was_about_to_say_to_the_new_one(world, monkeypatch, at):
+    """Neither told twice nor never: the new one is asked from the last whole frame."""
+    real, come = journal.connect, []
+    purge = frame(2, 3, bytes(7) + b"\7" + b"\0\0\1\x9a\0\0\0\0")
+
+    async def held(address):
+        come.append(address)
+        if at == "connecting" and address == come[0]:
+            await anyio.sleep_forever()
+        return await real(address)
+
+    async def scene(connect):
+        service, purged = world.service, []
+        feed = service.journal.feed
+        service.journal.feed = lambda event: (purged.append(event), feed(event))
+        await connect()
+        half = anyio.Event()
+
+        async def old(stream):
+            async with stream:
+                await stream.receive(8)
+                await stream.send(purge[:-3])
+                half.set()
+                await anyio.sleep_forever()
+
+        async with anyio.create_task_group() as tasks:
+            told = json.loads(world.path.read_text())
+
+            async def follow(handler):
+                world.path.write_text(json.dumps(told | {"journal": await world.listen(tasks, handler)}))
+                os.kill(os.getpid(), signal.SIGHUP)
+
+            await until(lambda: "journal from 1" in world.asked)
+            monkeypatch.setattr(journal, "connect", held)
+            await follow(old)
+            await until(lambda: come)
+            if at == "half a frame":
+                await half.wait()
+            world.frames = [purge]
+            await follow(world.journal)
+            await until(lambda: purged)
+            assert purged == [journal.Purge(None, f"{7:016x}", 0x019A_0000_0000 * 1_000)]
+            assert service.journal.held == 2
+            tasks.cancel_scope.cancel()
+
+    world.play(scene)
+
+
+def test_a_journal_service_that_resets_connections_as_they_come_up_is_asked_again(world):
+    times = []
+
+    async def reset(stream):
+        times.append(stream)
+        if len(times) < 3:
+            own = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            await stream.aclose()
+        else:
+            await world.journal(stream)
+
+    async def scene(connect):
+        client = await connect()
+        async with anyio.create_task_group() as tasks:
+            told = json.loads(world.path.read_text())
+            world.path.write_text(json.dumps(told | {"journal": await world.listen(tasks, reset)}))
+            before = world.asked.count("journal from 1")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: world.asked.count("journal from 1") > before)
+            assert len(times) == 3
+            await client.begin(1)
+            assert "200 OK" in await client.end()
+            tasks.cancel_scope.cancel()
+
+    world.play(scene)
+
+
+@pytest.mark.parametrize("in_time", [True, False])
+def test_a_connection_that_comes_up_late_keeps_nobody_and_carries_nothing_late(world, monkeypatch, in_time):
+    """Within what is told it is used; beyond, another cache is asked, and it is closed if it comes at all."""
+    real, come, gate = stream.connect, [], anyio.Event()
+
+    async def held(address):
+        come.append(address)
+        if len(come) == 1:
+            await gate.wait()
+        return await real(address)
+
+    async def scene(connect):
+        slow, other = await connect(), await connect()
+        monkeypatch.setattr(backend, "connect", held)
+        await slow.begin(1)
+        await until(lambda: come)
+        for id in range(10, 15):
+            await other.begin(id)
+            assert "200 OK" in await other.end()
+        if in_time:
+            assert not asked(world, 1)
+            gate.set()
+        assert "200 OK" in await slow.end()
+        gate.set()
+        await settled(world)
+        service = world.service
+        assert asked(world, 1) == 1
+        assert service.backend.open == sum(map(len, service.backend.pool.values()))
+
+    within = 800_000 if in_time else 50_000
+    limits = SETUP["limits"] | {"dial_timeout_us": within}
+    world.play(scene, settings=SETUP | {"limits": limits})
+
+
+def test_a_flood_of_what_cannot_be_used_costs_few_lines_and_no_other_client(world, capsys):
+    """A line each would be more than a log takes; what is left out is counted in the next."""
+    floods = 200
+
+    async def scene(connect):
+        other = await connect()
+        for at in range(floods):
+            flood = await connect()
+            write(flood, flood.req(1, HTTP_X_CHUNK="none") + b"\0" * 64)
+            if at % 2:
+                close(flood)
+            if at % 20 == 0:
+                await other.begin(1000 + at)
+                assert "200 OK" in await other.end()
+        await until(lambda: len(world.service.front.open) == 1)
+
+    world.play(scene)
+    lines = [line for line in capsys.readouterr().err.splitlines() if "client: " in line]
+    assert 0 < len(lines) < floods / 2 and not any("Traceback" in line for line in lines)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -15,7 +15,7 @@
 from quartzrouter.site.logs import logger
 from quartzrouter.site.serve import Planned
 from quartzrouter.standin.loopback import heads
-from standins import WHOLE, World, free_port
+from standins import WHOLE, World, free_port, tagged
 
 SLOW = [0.15, WHOLE]
 PLAN = """{
@@ -54,7 +54,7 @@
                     self.where.append(name)
                     self.heads.append(head.decode())
                     await anyio.sleep(self.delay)
-                    await stream.send(WHOLE)
+                    await stream.send(tagged(WHOLE, head))
 
         return answer
 
