Large answers are not taken for hangs: patience knows the largest of a class, and told lengths

The line at fault is the time-out of 1.5 targets in Router._dispatch, which goes by the mean size where none is told (always, on sockets). Ruled out: room for answers (in order, a test with one large answer's room answers 12 of 12), refusals by estimate (all sizes alike).

Change: that time-out goes by the size that 0.95 of the answers seen don't exceed; once a head tells a length, by that length (Router.sized), at the pace that the configuration tells for the wire, not the simulator's (Post). What was seen of cut answers is still nothing: a class with few far larger ones is helped only by heads that come first.

--- a/quartzrouter/briefing.py
+++ b/quartzrouter/briefing.py
@@ -14,6 +14,7 @@
 
 EFFECTS = {"retryable": Effect.REPLAYABLE, "dedup": Effect.UNIQUED, "fragile": Effect.NON_REPLAYABLE}
 NUMBER = (int, float)
+KB = 1_000  # bytes
 HOWS = ("silent", "pull", "piggyback")  # where load reports come: nowhere, in probes, in answers
 BUSY = "busy"  # the field of a load report that the decisions read
 MOST = 1 << 62  # us, or whatever else a whole number counts
@@ -206,6 +207,8 @@
         self.known = known.parts("entries")
         self.briefing = Briefing(told.need("settings", dict), self.seed)
         self.briefing.check_shape()
+        if flow := told.figure("flow_bytes_per_s"):  # on the wire; the settings have the simulator's
+            self.briefing.arguments["pace"] = flow / KB
         if not self.briefing.vhosts:
             raise Unusable("settings.categories is empty")
 
--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -56,6 +56,7 @@
 PACE_MARGIN = 1.4  # more will come while a req is sent
 LINK_GUESS = 3.0  # transfers that a link carries where ratings say nothing: a small machine's
 PATIENCE = 1.5  # of the target, for an answer: later ones earn little and hold places that others need
+LARGE = 0.95  # quantile of what was seen of a vhost, for which patience has to do where no size is told
 HOLD = 50 * MS  # until a held req is asked again: short beside any target
 RETRY_RATE, RETRY_BURST = 0.3, 20.0  # further dispatches for each first one, and at once: no storm of ours
 BINS, STEP = 36, 1.3  # bins of a histogram, and their growth: finer than the spread of what is measured
@@ -505,6 +506,11 @@
         if flight := self.flights.get(req_id):
             flight.streaming = True
 
+    def sized(self, req_id: int, size_kb: float) -> int:
+        """Until when an answer that has begun may take: a large one is late, and no hang."""
+        flight, own = self.flights[req_id], size_kb / self.pace * S if self.pace else 0.0
+        return min(flight.deadline, flight.came + int(PATIENCE * self._target(flight, own)))
+
     def left(self, req_id: int) -> int | None:  # the hop to call off, if any
         flight = self.flights.get(req_id)
         if flight is None or flight.over:
@@ -618,7 +624,8 @@
         names, until = (roster.be[be].name, roster.be[source].name), flight.deadline
         # What hangs is soon found out.  Where reports tell of load, what is of untold size has its time.
         if vhost.effect is Effect.REPLAYABLE and (req.size_kb or not self.permits.reports):
-            until = min(until, flight.came + int(PATIENCE * self._target(flight)))
+            large = 0.0 if req.size_kb else self.sending[vhost.name].quantile(LARGE, 0.0)
+            until = min(until, flight.came + int(PATIENCE * self._target(flight, large)))
         ways, send_by = (self.permits.joins, bool(vhost.fresh_for)), self.retries.send_by(flight)
         return Dispatch(hop, *names, flight.rank, oldest, *ways, max(1, until - now), send_by)
 
@@ -723,9 +730,9 @@
         own = flight.req.size_kb / self.pace * S if self.pace else 0  # the sending time at full pace
         return own or self.sending[flight.vhost.name].mean(unknown)  # what is not known denies nothing
 
-    def _target(self, flight: Flight) -> int:
+    def _target(self, flight: Flight, own: float = 0.0) -> int:
         aim, stretch = flight.vhost.first_byte_target, flight.vhost.target_stretch
-        return int(aim + stretch * self._own(flight, aim))
+        return int(aim + stretch * (own or self._own(flight, aim)))
 
     def _in_time(self, flight: Flight, be: int, now: int) -> bool:
         """Work that can't meet its target is not begun: it would only make others late as well.
--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -316,6 +316,9 @@
         self._done(req_id)
         return answer
 
+    def sized(self, req_id: int, size_kb: float) -> int:
+        return self.where[req_id].router.sized(req_id, size_kb)
+
     def left(self, req_id: int) -> int | None:
         seat = self.where.get(req_id)
         if seat is None:
--- a/quartzrouter/net/reducer.py
+++ b/quartzrouter/net/reducer.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
+from quartzrouter.briefing import KB
 from quartzrouter.control import Router
 from quartzrouter.desk import ASK_WAIT, Desk
 from quartzrouter.interface import Dispatch, Ending, Outcome, Report, Req, State, Told
@@ -16,6 +17,7 @@
 from quartzrouter.net.progress import Failure
 
 MS = 1_000
+
 STOP_AFTER = 1_000 * MS  # us from SIGTERM: reqs keep arriving for 0.7 s, and a little for a busy machine
 NEVER = 1 << 62  # us
 DONE, SAME, LACKING, FULL, OVER = 200, 304, 404, 503, 504  # what a cache answers; others are errors
@@ -357,6 +359,9 @@
         unmarked = head.status in (DONE, SAME) and self._kept(call) and not head.marked
         if unmarked or (head.status == SAME and not call.held):
             self._end(ticket, going, Ending.CUT, now)  # nothing that may be passed on; it may have run
+        elif head.length and (until := self.router.sized(ticket, head.length / KB)) > going.until:
+            going.until = until
+            self._timer(until, "hop", ticket, going.answer.hop)
 
     def _over(self, ticket: int, going: Going, event: Over, now: int) -> None:
         head = going.head
--- /dev/null
+++ b/tests/test_large_objects.py
@@ -0,0 +1,149 @@
+"""Large objects take longer, and are answered as often: what bounds time and room knows their size."""
+
+import heapq
+import random
+
+import anyio
+import pytest
+
+from conftest import MS, SETUP, S, listed
+from quartzrouter import control
+from quartzrouter.briefing import Briefing
+from quartzrouter.interface import Told
+from quartzrouter.net import answer, backend, journal, reducer
+from standins import WHOLE
+
+PACE = 300  # KB a second
+LARGE, SMALL = 240_000, 5_000  # bytes
+FLOOR = 2 / 3  # of its class's answered share that the largest reqs get on a quiet day
+
+
+def told(**page):
+    category = SETUP["categories"][0] | {"aim_us": 400 * MS, "aim_stretch": 2.0, "deadline_us": 5 * S} | page
+    family = SETUP["family_info"] | {"flow_kb_per_s": PACE, "never_kept": [False]}
+    return SETUP | {"categories": [category], "family_info": family}
+
+
+class Paced:
+    """A reducer, and caches that send at a pace; which reqs are answered, by size."""
+
+    def __init__(self, head_first=True, **page):
+        self.head_first = head_first  # else caches say nothing until they have all of an answer
+        self.reducer = reducer.Reducer(control.Router(**Briefing(told(**page), 7).arguments))
+        self.now, self.events, self.numbers = 10 * S, [], 0
+        self.sizes, self.done, self.ends = {}, set(), {}
+        self.sending, self.stuck = {}, set()
+        names = dict.fromkeys(["c1", "c2", "c3", "p1", "o"], "up")
+        addresses = {name: (f"127.0.0.{n}", 80) for n, name in enumerate(names, 1)}
+        self.step(journal.Lines(listed(names), addresses, True))
+
+    def at(self, when, event):
+        self.numbers += 1
+        heapq.heappush(self.events, (when, self.numbers, event))
+
+    def step(self, event):
+        for effect in self.reducer.step(event, self.now):
+            match effect:
+                case reducer.Open(ticket, hop):
+                    self.at(self.now + MS, reducer.Ready(ticket, hop))
+                case reducer.Write(ticket, hop):
+                    self.sending[ticket, hop] = True
+                    head = reducer.Head(ticket, hop, 200, self.sizes[ticket], False, True, Told.HIT)
+                    took = self.sizes[ticket] / 1000 / PACE * S * 1.5  # the link is shared
+                    self.at(self.now + 30 * MS + (0 if self.head_first else int(took)), head)
+                    if ticket not in self.stuck:
+                        self.at(self.now + 30 * MS + int(took), reducer.Over(ticket, hop, None, b""))
+                case reducer.Drop(ticket, hop):
+                    self.sending.pop((ticket, hop), None)
+                case reducer.Reply(ticket, data):
+                    self.ends[ticket] = self.now
+                    if data == answer.done(b""):
+                        self.done.add(ticket)
+
+    def came(self, when, ticket, size):
+        self.sizes[ticket] = size
+        call = reducer.Call(f"{ticket:016x}", "page", f"{ticket % 50:016x}", 0, 1, 5 * S)
+        self.at(when, reducer.Came(ticket, call))
+
+    def play(self, until):
+        while True:
+            due = min(self.reducer.due, self.events[0][0] if self.events else until)
+            if due >= until:
+                return
+            self.now = max(self.now, due)
+            if self.events and self.events[0][0] <= self.now:
+                event = heapq.heappop(self.events)[2]
+                over = isinstance(event, (reducer.Head, reducer.Over))
+                if not over or (event.ticket, event.hop) in self.sending:
+                    self.step(event)
+            else:
+                self.step(reducer.Tick())
+
+    def share(self, size):
+        these = [ticket for ticket, each in self.sizes.items() if each == size]
+        return sum(ticket in self.done for ticket in these) / len(these)
+
+
+def test_large_answers_that_have_begun_are_not_taken_for_hangs():
+    """Time-outs went by the mean size: the largest tenth was given up in the middle, each time."""
+    paced, draw = Paced(), random.Random(5)
+    for ticket in range(400):
+        paced.came(10 * S + ticket * 100 * MS, ticket, LARGE if draw.random() < 0.1 else SMALL)
+    paced.play(60 * S)
+    print(f"answered: {paced.share(LARGE):.2f} of the large reqs, {paced.share(SMALL):.2f} of the others")
+    assert set(paced.ends) == set(paced.sizes)
+    assert paced.share(LARGE) >= FLOOR * len(paced.done) / len(paced.sizes)
+
+
+def test_large_answers_that_are_told_of_at_their_end_are_not_taken_for_hangs():
+    """Then what was seen of the class says how long a large one takes, not its mean."""
+    paced, draw = Paced(head_first=False, aim_us=100 * MS), random.Random(5)
+    for ticket in range(400):
+        paced.came(10 * S + ticket * 100 * MS, ticket, int(SMALL * (LARGE / SMALL) ** draw.random()))
+    paced.play(60 * S)
+    largest = sorted(paced.sizes, key=paced.sizes.get)[-40:]
+    share = sum(ticket in paced.done for ticket in largest) / 40
+    print(f"answered: {share:.2f} of the largest tenth, {len(paced.done) / 400:.2f} of all")
+    assert set(paced.ends) == set(paced.sizes)
+    assert share >= FLOOR * len(paced.done) / 400
+
+
+def test_a_large_answer_that_stops_in_the_middle_is_given_up_before_its_client_does():
+    paced = Paced()
+    for ticket in range(40):
+        paced.came(10 * S + ticket * 100 * MS, ticket, SMALL)
+    paced.stuck.add(41)
+    paced.came(15 * S, 41, LARGE)
+    paced.play(30 * S)
+    assert paced.ends[41] <= 20 * S and not paced.sending.get((41, 0))
+
+
+@pytest.mark.parametrize("memory", [1, 4])
+def test_where_the_bytes_of_answers_are_bounded_large_ones_are_answered_too(world, memory):
+    """At most one of them fits at once; small ones that come all the while don't pass it by."""
+    ends, sizes = [], {}
+
+    async def scene(connect):
+        async def ask(client, ids):
+            for id in ids:
+                await client.begin(id, HTTP_X_DEADLINE_MS="3000")
+                said = await client.end()
+                ends.append((id, "200 OK" in said))
+
+        for id in range(1, 97):
+            sizes[id] = LARGE if id % 8 == 0 else SMALL
+            head = WHOLE.replace(b"5\r\n\r\nabcde", b"%d\r\n\r\n" % sizes[id])
+            world.answers[id] = [head + bytes(sizes[id])]
+        clients = [await connect() for _ in range(12)]
+        async with anyio.create_task_group() as tasks:
+            for n, client in enumerate(clients, 1):
+                tasks.start_soon(ask, client, range(n, 97, 12))
+        assert world.service.backend.room.free == max(
+            (memory << 20) // 8, backend.ANSWER_MOST
+        )  # all of it was given back
+
+    world.play(scene, limits={"sockets": 128, "memory_mb": memory})
+    share = {size: sum(good for id, good in ends if sizes[id] == size) for size in (LARGE, SMALL)}
+    print(f"answered: {share[LARGE]} of 12 large reqs, {share[SMALL]} of 84 others")
+    assert len(ends) == 96
+    assert share[LARGE] / 12 >= FLOOR * sum(share.values()) / 96
