--- a/benchmarks/plan.py
+++ b/benchmarks/plan.py
@@ -11,7 +11,7 @@
 import time
 import tracemalloc
 
-from quartzrouter.briefing import Post
+from quartzrouter.briefing import Configuration
 from quartzrouter.control import Router
 from quartzrouter.force.force import Force
 from quartzrouter.force.ruling import vhost_name
@@ -127,7 +127,7 @@
     print("| decisions | us a req |\n| --- | --- |")
     text = template(1)
     plan = load("main", lambda path: text).plan
-    arguments = Post(compiled(plan), {}, journal_needed=False).briefing.arguments
+    arguments = Configuration(compiled(plan), {}, journal_needed=False).briefing.arguments
     router = Router(**arguments)
     router.heard(listed(plan), True, 0)
 
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -27,7 +27,7 @@
 came = [time.monotonic()]
 from quartzrouter.signals import Signals
 signals = Signals().__enter__()
-from quartzrouter.briefing import Post, read
+from quartzrouter.briefing import Configuration, read
 from quartzrouter.net import serve
 import anyio
 note = lambda: came.append(time.monotonic())
@@ -40,9 +40,9 @@
         note()
         print(*came, flush=True)
         await super()._accept_all()
-post = Post(read(os.environ), os.environ)
+configuration = Configuration(read(os.environ), os.environ)
 note()
-service = Service(post, None, signals)
+service = Service(configuration, None, signals)
 note()
 anyio.run(service.run, backend_options=serve.LOOP)
 """
--- a/quartzrouter/briefing.py
+++ b/quartzrouter/briefing.py
@@ -178,7 +178,7 @@
     return host.strip("[]"), int(port)
 
 
-class Post:
+class Configuration:
     """Where one router stands: its name and addresses, its limits and the journal up to now."""
 
     FIXED = ("listen", "limits", "settings")  # what a reload can't change
--- a/quartzrouter/net/serve.py
+++ b/quartzrouter/net/serve.py
@@ -15,7 +15,7 @@
 import anyio
 
 from quartzrouter import control
-from quartzrouter.briefing import Post, Unusable, read
+from quartzrouter.briefing import Configuration, Unusable, read
 from quartzrouter.interface import Effect as RepeatEffect
 from quartzrouter.net import answer, journal
 from quartzrouter.net.backend import Backend
@@ -56,23 +56,27 @@
 
 class Service:
     def __init__(
-        self, post: Post, reread: Callable[[], Post] | None = None, signals: Signals | None = None
+        self, configuration: Configuration, reread: Callable[[], Configuration] | None = None,
+        signals: Signals | None = None,
     ):  # fmt: skip
-        self.post, self.reread, self.signals = post, reread, signals or Signals()
+        self.configuration, self.reread, self.signals = configuration, reread, signals or Signals()
         self.report = self._report()
         control.log.handlers, control.log.propagate = [Forward(self.report)], False
         control.log.setLevel(logging.INFO)
         self.reducer = self._reducer()
-        clients = post.sockets // 3
-        come_back = control.come_back(post.briefing.arguments["permits"])
-        room = post.memory // REQS_SHARE
+        clients = configuration.sockets // 3
+        come_back = control.come_back(configuration.briefing.arguments["permits"])
+        room = configuration.memory // REQS_SHARE
         self.front = Front(self.feed, clients, room, self._reader(), self.report, come_back)
         self.backend = Backend(
-            self.feed, post.sockets - clients - RESERVE, post.memory // HELD_SHARE,
-            post.briefing.idle_most / 1e6, post.briefing.connect_within / 1e6, self._copy_of(),
-            post.briefing.arguments["permits"].reports,
+            self.feed, configuration.sockets - clients - RESERVE, configuration.memory // HELD_SHARE,
+            configuration.briefing.idle_most / 1e6, configuration.briefing.connect_within / 1e6,
+            self._copy_of(),
+            configuration.briefing.arguments["permits"].reports,
         )  # fmt: skip
-        self.journal = journal.Journal(post.journal, post.position, post.briefing, self.feed, self.report)
+        self.journal = journal.Journal(
+            configuration.journal, configuration.position, configuration.briefing, self.feed, self.report
+        )
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.events: deque[Event] = deque()
         self.feeding, self.now, self.time = False, 0, Time(clock, steady)
@@ -84,14 +88,16 @@
         self.tasks: anyio.abc.TaskGroup
 
     def _report(self) -> Report:
-        return Report(self.post.name, clock)
+        return Report(self.configuration.name, clock)
 
     def _reducer(self) -> Reducer:
-        return Reducer(control.Router(**self.post.briefing.arguments))
+        return Reducer(control.Router(**self.configuration.briefing.arguments))
 
     def _reader(self) -> Callable[[dict[str, str]], Call]:
         """What makes a req of a client's parameters."""
-        uniqued = {vhost.name: vhost.effect is RepeatEffect.UNIQUED for vhost in self.post.briefing.vhosts}
+        uniqued = {
+            vhost.name: vhost.effect is RepeatEffect.UNIQUED for vhost in self.configuration.briefing.vhosts
+        }
         return partial(call, uniqued=uniqued.get)
 
     def _copy_of(self) -> Callable[[dict[str, str]], Any] | None:
@@ -264,7 +270,7 @@
         self.accepting.cancel()
         while self.listening:
             await anyio.sleep(FLUSH_EVERY)
-        longest = max(vhost.client_timeout for vhost in self.post.briefing.vhosts)
+        longest = max(vhost.client_timeout for vhost in self.configuration.briefing.vhosts)
         with anyio.move_on_after(longest / 1e6):  # later nobody waits for an answer
             while self.front.open or self.front.coming:
                 self.front.end()  # what was taken last has a turn to be read in
@@ -289,14 +295,16 @@
     def _reload(self) -> None:
         """The configuration as it now reads; one that can't be used changes nothing."""
         try:
-            post = self.reread()
+            configuration = self.reread()
         except Unusable as error:
             self.report.say("process", f"SIGHUP: nothing changes: {error}")
             return
-        kept = [key for key, told in self.post.fixed.items() if post.fixed[key] != told]
+        kept = [key for key, told in self.configuration.fixed.items() if configuration.fixed[key] != told]
         change = f"{', '.join(kept)} kept until the next start" if kept else "read anew"
-        self.report.say("process", f"SIGHUP: journal at {post.journal[0]}:{post.journal[1]}; {change}")
-        self.feed(Reload(post.journal))
+        self.report.say(
+            "process", f"SIGHUP: journal at {configuration.journal[0]}:{configuration.journal[1]}; {change}"
+        )
+        self.feed(Reload(configuration.journal))
 
     def _start_more(self) -> None:
         """Tasks of an installation of our own."""
@@ -306,11 +314,11 @@
             await self._run()
 
     async def _run(self) -> None:
-        post, now = self.post, self._time()
+        configuration, now = self.configuration, self._time()
         self.reducer.step(Tick(), now)
-        for event in journal.known(post.known, post.briefing):
+        for event in journal.known(configuration.known, configuration.briefing):
             self.reducer.step(event, now)
-        host, port = post.listen
+        host, port = configuration.listen
         if self.signals.ending:
             self.report.say("process", "told to end before it listened: stopped")
             return
@@ -329,7 +337,7 @@
             self.turns.start()
             self.tasks.start_soon(self.backend.sweep)
             self.tasks.start_soon(self.front.sweep)
-            if post.journal:
+            if configuration.journal:
                 self.tasks.start_soon(self.journal.follow)
             self.tasks.start_soon(self._accept_all)
             self._start_more()
@@ -342,7 +350,9 @@
     :param signals: those that listen already: what came before the router runs is played once it does.
     """
     try:
-        service = Service(Post(read(environ), environ), lambda: Post(read(environ), environ), signals)
+        service = Service(
+            Configuration(read(environ), environ), lambda: Configuration(read(environ), environ), signals
+        )
         anyio.run(service.run, backend_options=LOOP)
     except Unusable as error:
         print(f"quartzrouter: {error}", file=sys.stderr)
--- a/quartzrouter/site/serve.py
+++ b/quartzrouter/site/serve.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from quartzrouter.briefing import Post, Section, Unusable, address
+from quartzrouter.briefing import Configuration, Section, Unusable, address
 from quartzrouter.force.force import Force
 from quartzrouter.force.shared import budgets, terms
 from quartzrouter.ledger.link import Hang, Link, Tell
@@ -36,15 +36,15 @@
     def __init__(self, path: str, plan: Plan, log: Any, signals: Signals | None = None):
         self.path, self.plan, self.log = path, plan, log
         self.again = self.reading = False  # a reload was asked for; one is under way
-        super().__init__(post(plan), signals=signals)
+        super().__init__(configuration(plan), signals=signals)
 
     def _report(self) -> Report:
-        return Structured(self.post.name, serve.clock, self.log)
+        return Structured(self.configuration.name, serve.clock, self.log)
 
     def _reducer(self) -> PlannedReducer:
         self.fleet, follower = purges.joined(self.plan) or (None, None)
-        arguments, home = self.post.briefing.arguments, self.plan.deployment["home"]
-        name, token = (follower.name, follower.token) if follower else (self.post.name, "")
+        arguments, home = self.configuration.briefing.arguments, self.plan.deployment["home"]
+        name, token = (follower.name, follower.token) if follower else (self.configuration.name, "")
         shares = Shares(budgets(self.plan, (home,)), name, token, serve.steady)
         parts = Parts(terms(self.plan), serve.steady) if follower else None
         self.force = Force(self.plan, arguments, self.fleet, shares, parts)
@@ -163,7 +163,7 @@
             more = f" (and {len(faults) - 1} more)" if len(faults) > 1 else ""
             self.report.say("process", f"SIGHUP: nothing changes: {faults[0].head}{more}")
             return
-        home = self.post.briefing.arguments["home"]
+        home = self.configuration.briefing.arguments["home"]
         if home not in loaded.plan.stores:
             self.report.say(
                 "process", f"SIGHUP: nothing changes: the home store '{home}' is gone; restart for that"
@@ -180,15 +180,15 @@
     def _lines(self, plan: Plan) -> Lines:
         """The caches that a plan lists; those that weren't listed before are taken for just started."""
         hosts = {"hosts": {"complete": True, "members": members(plan)}}
-        (lines,) = known([Section(hosts)], self.post.briefing)
+        (lines,) = known([Section(hosts)], self.configuration.briefing)
         listed, now = self.reducer.addresses, self._time()
         fresh = [line if line.name in listed else replace(line, started=now) for line in lines.lines]
         return lines._replace(lines=fresh)
 
 
-def post(plan: Plan) -> Post:
+def configuration(plan: Plan) -> Configuration:
     """Where the router stands, by the plan's words in the platform's."""
-    return Post(compiled(plan), {}, journal_needed=False)
+    return Configuration(compiled(plan), {}, journal_needed=False)
 
 
 def run(path: str, plan: Plan, log: Any, signals: Signals | None = None) -> int:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,7 +5,7 @@
 import anyio
 
 from conftest import SETUP
-from quartzrouter.briefing import Post, read
+from quartzrouter.briefing import Configuration, read
 from quartzrouter.net import serve
 from quartzrouter.standin.loopback import MARKS, TAG, WHOLE, Client, begin, free_port, heads, listen, tagged
 
@@ -87,7 +87,9 @@
         anyio.run(run, backend_options=serve.LOOP)
 
     def router(self, environ):
-        return serve.Service(Post(read(environ), environ), lambda: Post(read(environ), environ))
+        return serve.Service(
+            Configuration(read(environ), environ), lambda: Configuration(read(environ), environ)
+        )
 
     async def connect(self, port):
         while True:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -58,17 +58,19 @@
 
 
 def test_compiled_plans_start_the_platforms_router():
-    from quartzrouter.briefing import Post
+    from quartzrouter.briefing import Configuration
 
     _, said = call("plan", "compile", HOLDS)
-    post = Post(json.loads(said), {})
-    assert post.journal == ("127.0.0.1", 4222) and [v.name for v in post.briefing.vhosts] == [
+    configuration = Configuration(json.loads(said), {})
+    assert configuration.journal == ("127.0.0.1", 4222) and [
+        v.name for v in configuration.briefing.vhosts
+    ] == [
         "hold",
         "release",
         "stock",
     ]
     made = load(HOLDS).plan
-    assert post.briefing.vhosts == list(made.vhosts.values())
+    assert configuration.briefing.vhosts == list(made.vhosts.values())
 
 
 def test_diff_replays_recorded_reqs(tmp_path):
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -6,7 +6,7 @@
 import pytest
 
 from conftest import SETUP, frame
-from quartzrouter.briefing import Briefing, Post, Section, Unusable, read
+from quartzrouter.briefing import Briefing, Configuration, Section, Unusable, read
 from quartzrouter.net import answer, backend, fastcgi, front, journal
 from quartzrouter.net.ring import Ring
 
@@ -172,12 +172,12 @@
     ):  # fmt: skip
         path.write_text(json.dumps(told | change))
         try:
-            said = Post(read({"NODE_CONFIG": str(path)}), {}).listen
+            said = Configuration(read({"NODE_CONFIG": str(path)}), {}).listen
         except Unusable as error:
             said = error
         trace.append(f"{str(change)[:90]}: {said}")
     path.write_text("{")
     for environ in ({}, {"NODE_CONFIG": str(path)}, {"NODE_CONFIG": "/nowhere"}):
         with pytest.raises(Unusable) as found:
-            Post(read(environ), environ)
+            Configuration(read(environ), environ)
         trace.append(str(found.value).replace(str(path), "FILE"))
--- a/tests/test_force.py
+++ b/tests/test_force.py
@@ -179,11 +179,16 @@
     """A plan in force, and the reqs of a few hands."""
 
     def __init__(self, text=PLAN):
-        from quartzrouter.briefing import Post
+        from quartzrouter.briefing import Configuration
 
         self.plan = self.load(text)
-        post = Post(compiled(self.plan), {}, journal_needed=False)
-        self.force, self.now, self.ids, self.hops = Force(self.plan, post.briefing.arguments), 10 * S, 0, {}
+        configuration = Configuration(compiled(self.plan), {}, journal_needed=False)
+        self.force, self.now, self.ids, self.hops = (
+            Force(self.plan, configuration.briefing.arguments),
+            10 * S,
+            0,
+            {},
+        )
         self.list(self.plan)
 
     @staticmethod
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 
 from quartzrouter.cli.main import cli
-from quartzrouter.briefing import Post
+from quartzrouter.briefing import Configuration
 from quartzrouter.force.force import Force
 from quartzrouter.force.limits import Key, Limits
 from quartzrouter.force.shared import budgets
@@ -265,7 +265,7 @@
 
 def test_a_client_waits_no_longer_than_a_shared_slot_is_reckoned_in_use():
     plan = load("main", lambda path: PLAN % PURGES).plan
-    force = Force(plan, Post(compiled(plan), {}, journal_needed=False).briefing.arguments)
+    force = Force(plan, Configuration(compiled(plan), {}, journal_needed=False).briefing.arguments)
     ruling = force.rule(Asked("north", "", "/a", "GET", {}, {}), "c")
     assert [force.timeout(ruling, told) for told in (0, 5 * S, 60 * S)] == [3 * S, 5 * S, 9 * S]
 
