--- a/quartzrouter/force/force.py
+++ b/quartzrouter/force/force.py
@@ -42,7 +42,7 @@
 NEVER = 1 << 62  # us
 
 
-class Seat:
+class PoolRouter:
     """A pool's Router, and when it wants to be asked again."""
 
     def __init__(self, pool: Pool, router: Router):
@@ -90,14 +90,14 @@
         self.pools = Pools(plan.pools, plan.splits)
         self.purges = Purges(arguments["purge_life"])  # for routers that come later
         self.lines: dict[str, Listed] = {}
-        self.seats: dict[str, Seat] = {}
-        self.leaving: list[Seat] = []  # of pools that are gone
-        self.where: dict[int, Seat] = {}  # by req
+        self.pool_routers: dict[str, PoolRouter] = {}
+        self.leaving: list[PoolRouter] = []  # of pools that are gone
+        self.where: dict[int, PoolRouter] = {}  # by req
         self.rulings: dict[int, Ruling] = {}
         self.budgets: dict[str, float] = {}  # by policy: further dispatches saved up
-        self.touched: set[Seat] = set()
+        self.touched: set[PoolRouter] = set()
         self.vhosts = self._vhosts()
-        self._seat(0)
+        self._assign(0)
 
     # -- the plan --------------------------------------------------------------------------------------
 
@@ -111,7 +111,7 @@
         self.pools.replace(plan.pools, plan.splits)
         self.budgets = {name: kept for name, kept in self.budgets.items() if name in plan.policies}
         self.vhosts = self._vhosts()
-        self._seat(now)
+        self._assign(now)
 
     def _vhosts(self) -> dict[str, VHost]:
         """Each vhost, and each as the policies of its routes change it."""
@@ -124,26 +124,26 @@
                 found[vhost_name(route)] = replace(base, name=vhost_name(route), **changes)
         return found
 
-    def _seat(self, now: int) -> None:
+    def _assign(self, now: int) -> None:
         """A Router for each pool: the one of that name, or a new one that knows the list and the purges."""
-        before, self.seats = self.seats, {}
-        gone = [seat for name, seat in before.items() if name not in self.plan.pools]
-        self.leaving = [seat for seat in (*self.leaving, *gone) if seat.router.flights]
+        before, self.pool_routers = self.pool_routers, {}
+        gone = [pool_router for name, pool_router in before.items() if name not in self.plan.pools]
+        self.leaving = [pool_router for pool_router in (*self.leaving, *gone) if pool_router.router.flights]
         for name, pool in self.plan.pools.items():
             known = before.get(name)
-            seat = known or Seat(pool, self._router())
-            seat.pool, seat.router.roster.homes = pool, self._homes(pool)
-            seat.router.vhosts.update(self.vhosts)
+            pool_router = known or PoolRouter(pool, self._router())
+            pool_router.pool, pool_router.router.roster.homes = pool, self._homes(pool)
+            pool_router.router.vhosts.update(self.vhosts)
             for vhost in self.vhosts:
-                seat.router.sending.setdefault(vhost, Histogram(4 * MS))
+                pool_router.router.sending.setdefault(vhost, Histogram(4 * MS))
             if self.lines:
-                seat.hear(list(self.lines.values()), True, now)
+                pool_router.hear(list(self.lines.values()), True, now)
                 if not known:
-                    self._spent(seat.router, now)
-            self.seats[name] = seat
-        for seat in self._all():
-            self._share(seat, len(self._all()))
-        self.touched.update(self.seats.values())
+                    self._spent(pool_router.router, now)
+            self.pool_routers[name] = pool_router
+        for pool_router in self._all():
+            self._share(pool_router, len(self._all()))
+        self.touched.update(self.pool_routers.values())
 
     def _router(self) -> Router:
         router = Router(**(self.arguments | {"vhosts": list(self.vhosts.values())}))
@@ -152,17 +152,17 @@
             router.granted = self.parts.left  # one for all pools: what one has used, another has not
         return router
 
-    def _share(self, seat: Seat, pools: int) -> None:
+    def _share(self, pool_router: PoolRouter, pools: int) -> None:
         """Cold servers' budgets and sources' limits are shared by all routers, and by all pools of each."""
         everyone, home = self.arguments["cold_parent"].routers, (self.arguments["home"],)
         for key, tier in (("cold_cache", Tier.CACHE), ("cold_parent", Tier.PARENT)):
             cold: ColdStart = self.arguments[key]
-            reach = cold.routers if seat.pool.stores == home else everyone
-            warm = seat.router.warm[tier]
+            reach = cold.routers if pool_router.pool.stores == home else everyone
+            warm = pool_router.router.warm[tier]
             warm.cold = replace(cold, routers=reach * pools)
             shared = self.parts.terms.get(tier.value) if self.parts else None
             warm.own = shared.floors if shared else 1.0
-        seat.router.fills.routers = everyone * pools
+        pool_router.router.fills.routers = everyone * pools
 
     @staticmethod
     def _spent(router: Router, now: int) -> None:
@@ -185,12 +185,12 @@
         if ruling.policy.deny:
             return Denied("", self.come_back(ruling, 0))
         wanted = self.pools.of(ruling.route.pool, ruling.obj, ruling.client)
-        pool = self.pools.serving(wanted, lambda name: self.seats[name].count(now), now)
+        pool = self.pools.serving(wanted, lambda name: self.pool_routers[name].count(now), now)
         value = self.vhosts[vhost_name(ruling.route)].value
         denied = self.limits.admit(req_id, keys(self.plan, ruling, pool), value, now)
         if denied:
             return Denied(denied.limit, self.come_back(ruling, denied.come_back))
-        self.rulings[req_id], self.where[req_id] = ruling, self.seats[pool]
+        self.rulings[req_id], self.where[req_id] = ruling, self.pool_routers[pool]
         return None
 
     def timeout(self, ruling: Ruling, told: int) -> int:
@@ -274,12 +274,12 @@
 
     def _done(self, req_id: int) -> None:
         """Forgets a req that its Router has ended."""
-        seat = self.where[req_id]
-        self.touched.add(seat)
-        if req_id not in seat.router.flights:
+        pool_router = self.where[req_id]
+        self.touched.add(pool_router)
+        if req_id not in pool_router.router.flights:
             del self.where[req_id], self.rulings[req_id]
-            if seat in self.leaving and not seat.router.flights:
-                self.leaving.remove(seat)
+            if pool_router in self.leaving and not pool_router.router.flights:
+                self.leaving.remove(pool_router)
 
     # -- as a Router ---------------------------------------------------------------------------------------
 
@@ -307,8 +307,8 @@
         return answer
 
     def after(self, req_id: int, outcome: Outcome, now: int) -> Answer | None:
-        seat = self.where.get(req_id)
-        if seat is None:
+        pool_router = self.where.get(req_id)
+        if pool_router is None:
             return None
         further = not outcome.over and outcome.ending is not Ending.DONE
         answer = self._asked(req_id, further, lambda router: router.after(req_id, outcome, now), now)
@@ -320,10 +320,10 @@
         return self.where[req_id].router.sized(req_id, size_kb)
 
     def left(self, req_id: int) -> int | None:
-        seat = self.where.get(req_id)
-        if seat is None:
+        pool_router = self.where.get(req_id)
+        if pool_router is None:
             return None
-        hop = seat.router.left(req_id)
+        hop = pool_router.router.left(req_id)
         self._done(req_id)
         return hop
 
@@ -331,25 +331,25 @@
         named = {line.name: line for line in lines}
         self.lines = named if whole else self.lines | named
         self.lines = {name: line for name, line in self.lines.items() if line.state is not State.GONE}
-        for seat in self._all():
-            seat.hear(lines, whole, now)
+        for pool_router in self._all():
+            pool_router.hear(lines, whole, now)
         self.touched.update(self._all())
 
     def purged(self, group: int | None, obj: str | None, age: int, now: int) -> None:
         self.purges.add(group, obj, now - age, now)
-        for seat in self._all():
-            seat.router.purged(group, obj, age, now)
+        for pool_router in self._all():
+            pool_router.router.purged(group, obj, age, now)
 
     def probed(self, name: str, ending: Ending, report: dict[str, float], now: int) -> None:
-        for seat in self._all():
-            seat.router.probed(name, ending, report, now)
+        for pool_router in self._all():
+            pool_router.router.probed(name, ending, report, now)
         self.touched.update(self._all())
 
     def sights(self, now: int) -> dict[str, Sight]:
         """What all pools' routers together have seen of each cache."""
         found: dict[str, Sight] = {}
-        for seat in self._all():
-            for new in seat.router.sights(now):
+        for pool_router in self._all():
+            for new in pool_router.router.sights(now):
                 old = found.get(new.cache, Sight(new.cache, False, 0, 0, 0))
                 done, failed = old.done + new.done, old.failed + new.failed
                 in_hand = old.in_hand + new.in_hand
@@ -359,8 +359,8 @@
     def cold(self, now: int) -> list[Cold]:
         """Servers that have started lately, and what all pools' routers together would send them."""
         found: dict[str, Cold] = {}
-        for seat in self._all():
-            for new in seat.router.cold(now):
+        for pool_router in self._all():
+            for new in pool_router.router.cold(now):
                 old = found.get(new.server, replace(new, wanted=0, unit=0))
                 most, unit = min(old.most, new.most), max(old.unit, new.unit)
                 found[new.server] = Cold(new.server, new.tier, most, old.wanted + new.wanted, unit)
@@ -372,29 +372,29 @@
         :param own: of them, this one's, as it had told.
         """
         others = {name: -1 if said < 0 else max(0, said - own.get(name, 0)) for name, said in in_hand.items()}
-        for seat in self._all():
-            seat.router.loads(others, now)
+        for pool_router in self._all():
+            pool_router.router.loads(others, now)
 
     def left_out(self, until: dict[str, int], now: int) -> None:
         """What other routers have found bad, and until when (us)."""
-        for seat in self._all():
-            seat.router.left_out(until, now)
-            seat.counted = -NEVER
+        for pool_router in self._all():
+            pool_router.router.left_out(until, now)
+            pool_router.counted = -NEVER
         self.touched.update(self._all())
 
     def wait(self, now: int) -> Wait:
         """Asks those routers that something happened to, or whose time has come."""
         probes: dict[str, None] = {}
         timeout, subscribe, due = 0, False, NEVER
-        for seat in self._all():
-            if seat in self.touched or seat.due <= now:
-                told = seat.router.wait(now)
-                seat.due = now + told.time
+        for pool_router in self._all():
+            if pool_router in self.touched or pool_router.due <= now:
+                told = pool_router.router.wait(now)
+                pool_router.due = now + told.time
                 probes |= dict.fromkeys(told.probes)
                 timeout, subscribe = told.probe_timeout, subscribe or told.subscribe
-            due = min(due, seat.due)
+            due = min(due, pool_router.due)
         self.touched.clear()
         return Wait(max(MS, due - now), tuple(probes), timeout, subscribe)
 
-    def _all(self) -> list[Seat]:
-        return [*self.seats.values(), *self.leaving]
+    def _all(self) -> list[PoolRouter]:
+        return [*self.pool_routers.values(), *self.leaving]
--- a/tests/test_force.py
+++ b/tests/test_force.py
@@ -284,15 +284,15 @@
 
 def test_a_new_plan_keeps_what_was_learnt_and_ends_what_is_in_hand(played):
     answer = played.req("/a")
-    router = played.force.seats["near"].router
+    router = played.force.pool_routers["near"].router
     played.force.purged(None, "00" * 8, 0, played.now)
     text = PLAN.replace("pools: {", 'pools: { third: { stores: ["north", "south"] },')
     text = text.replace(
         'path: "/few/**" }, vhost: "page", pool: "near"', 'path: "/few/**" }, vhost: "page", pool: "third"'
     )
     played.force.replace(played.load(text), played.now)
-    assert played.force.seats["near"].router is router
-    third = played.force.seats["third"].router
+    assert played.force.pool_routers["near"].router is router
+    third = played.force.pool_routers["third"].router
     assert third.purges.at == router.purges.at and third.roster.homes == ("north", "south")
     assert isinstance(played.end(Ending.CUT, 1), Dispatch)
     assert played.end(Ending.DONE, 1) is None and not played.force.where
@@ -301,7 +301,7 @@
 
 def test_a_plan_that_takes_a_pool_away_ends_its_reqs(played):
     played.req("/far/a")
-    far = played.force.seats["far"]
+    far = played.force.pool_routers["far"]
     text = PLAN.replace('far: { stores: "south" },', "").replace(
         'near: { fallback: "far", at_least: 2, back_after: 1s },', "near: {},"
     )
@@ -343,13 +343,16 @@
     before = sent_cold(steady, lambda: None)
     after = sent_cold(changed, lambda: changed.force.replace(changed.load(text), changed.now))
     assert 0 < after <= before
-    routers = {seat.router.warm[Tier.CACHE].cold.routers for seat in changed.force.seats.values()}
+    routers = {
+        pool_router.router.warm[Tier.CACHE].cold.routers
+        for pool_router in changed.force.pool_routers.values()
+    }
     assert routers == {6}  # one router, six pools
-    assert {seat.router.fills.routers for seat in changed.force.seats.values()} == {6}
+    assert {pool_router.router.fills.routers for pool_router in changed.force.pool_routers.values()} == {6}
 
 
 def test_a_pool_that_goes_with_nothing_in_hand_leaves_at_once(played):
     text = PLAN.replace('far: { stores: "south" },', 'other: { stores: "south" },')
     text = text.replace('"far"', '"other"')
     played.force.replace(played.load(text), played.now)
-    assert played.force.leaving == [] and set(played.force.seats) == {"near", "other"}
+    assert played.force.leaving == [] and set(played.force.pool_routers) == {"near", "other"}
