A server that started lately is no fault where no ramp is told; settings at their edges

Where a hub's or a cache's cold time isn't told, or is 0, every req that named a server in its first window was a fault, and answered 502 with a traceback in the log.

Without the change most of them fail, with ZeroDivisionError in the log. With a window of 1 us cold caches get nothing until their ramp is over: a budget over so short a window bears no req.

--- a/quartzrouter/control.py
+++ b/quartzrouter/control.py
@@ -171,7 +171,7 @@
         """Sending time that all routers may spend on a server in a window; no bound where it is warm."""
         cold = self.cold
         age = now - started - cold.window  # what it could do when the window began
-        if not started or age >= cold.ramp:
+        if not (started and cold.ramp) or age >= cold.ramp:
             return math.inf
         can = link * (cold.floor + (1 - cold.floor) * max(0, age) / cold.ramp)
         return can * cold.multiple * cold.window * self.share
