--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -59,6 +59,18 @@
     return sum(f"/{id:016x}/" in line for line in world.asked)
 
 
+def holding(come, gate):
+    """A way to connect to a cache that notes who asks, and waits for a gate."""
+    real = stream.connect
+
+    async def held(address):
+        come.append(address)
+        await gate.wait()
+        return await real(address)
+
+    return held
+
+
 async def settled(world):
     await until(lambda: not world.service.attempts and not world.service.reducer.hands)
 
@@ -89,12 +101,8 @@
 @pytest.mark.parametrize("settings", [SETUP, NO_CANCEL])
 def test_an_attempt_that_was_connecting_is_not_sent_for_a_client_that_has_gone(world, monkeypatch, settings):
     """Where cancels are not permitted, it went on connecting, and out."""
-    real, come, gate = stream.connect, [], anyio.Event()
-
-    async def held(address):
-        come.append(address)
-        await gate.wait()
-        return await real(address)
+    come, gate = [], anyio.Event()
+    held = holding(come, gate)
 
     async def scene(connect):
         client = await connect()
@@ -696,12 +704,8 @@
 @pytest.mark.parametrize("at", ["connecting", "asked", "half an answer", "stopping"])
 def test_a_reload_between_two_steps_of_an_attempt_changes_nothing_about_it(world, monkeypatch, at):
     """The new journal service is followed, and the req has its one answer."""
-    real, come, gate = stream.connect, [], anyio.Event()
-
-    async def held(address):
-        come.append(address)
-        await gate.wait()
-        return await real(address)
+    come, gate = [], anyio.Event()
+    held = holding(come, gate)
 
     async def scene(connect):
         client, service = await connect(), world.service
