Read over: the cold sum is played for three seconds again, a bound that can fail, no twins

The test of a large answer that stops in the middle allowed its client's whole time; it now wants the attempt's own 3 s, to 10 ms. benchmarks/restarts.py wrote FastCGI records by hand, and boxes.py a tag as loopback.py does: both call what is there.

--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -16,8 +16,10 @@
 import time
 from pathlib import Path
 
+from quartzrouter.net import fastcgi
+from quartzrouter.standin.loopback import PORTS, Client, begin
+
 ROUTERS = 20
-PORTS = 20_000, 32_000  # below those that the system gives to connections
 PARTS = "interpreter", "imports", "configuration", "service", "loop", "list, listener", "health"
 ASK_EVERY = 0.01  # s
 MOST = 60.0  # s for all of them
@@ -68,16 +70,8 @@
 
 def health(port: int) -> bool:
     """Whether /health answers 200, over FastCGI on a connection of its own."""
-    params = b"\x0b\x07SCRIPT_NAME/health"
-    ask = b"\1\1\0\1\0\x08\0\0" + b"\0\1\1\0\0\0\0\0"
-    ask += (
-        b"\1\4\0\1"
-        + len(params).to_bytes(2, "big")
-        + b"\0\0"
-        + params
-        + b"\1\4\0\1\0\0\0\0"
-        + b"\1\5\0\1\0\0\0\0"
-    )
+    params = (fastcgi.PARAMS, b"\x0b\x07SCRIPT_NAME/health")
+    ask = Client.records_of(begin(), params, (fastcgi.PARAMS, b""), (fastcgi.STDIN, b""))
     try:
         with socket.create_connection(("127.0.0.1", port), 1) as connection:
             connection.sendall(ask)
--- a/quartzrouter/standin/boxes.py
+++ b/quartzrouter/standin/boxes.py
@@ -5,7 +5,6 @@
 """
 
 import random
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import lru_cache
@@ -15,7 +14,7 @@
 from quartzrouter.net.clock import clock
 from quartzrouter.purges.marks import Asked, Marks
 from quartzrouter.purges.words import Purge
-from quartzrouter.standin.loopback import Server, heads
+from quartzrouter.standin.loopback import Server, heads, tag
 
 LOST = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 
@@ -114,8 +113,7 @@
                 copy, told = await self._fill(key, target, fields), "fetched"
         if copy is None:
             return _head(504, {"X-No-Effect": "0", "X-Tell": "up_lost"}, b"")
-        tag = f"{zlib.crc32(target.encode()):016x}"
-        more = {"X-Tag": tag, "X-Minted": str(copy.minted // 1000), "X-Tell": told}
+        more = {"X-Tag": tag(target.encode()).decode(), "X-Minted": str(copy.minted // 1000), "X-Tell": told}
         more |= {"Cache-Tag": copy.tags, "X-Purged-To": str(self.reached)}
         more["X-Age-Ms"] = str(-((copy.made - came) // 1000))  # when the req came; negative: made since
         return _head(200, more, copy.body)
--- a/quartzrouter/standin/loopback.py
+++ b/quartzrouter/standin/loopback.py
@@ -16,9 +16,14 @@
 WHOLE = b"HTTP/1.1 200 OK\r\n" + MARKS + b"Content-Length: 5\r\n\r\nabcde"
 
 
+def tag(target: bytes) -> bytes:
+    """Of a part, and of no other: caches tell their copies apart by it."""
+    return b"%016x" % zlib.crc32(target)
+
+
 def tagged(answer: bytes, head: bytes) -> bytes:
-    """The answer to a req, with a tag that is that part's alone, as caches tell their copies apart."""
-    return answer.replace(TAG, b"%016x" % zlib.crc32(head.split(b" ", 2)[1]))
+    """The answer to a req, with the tag of the part that it names."""
+    return answer.replace(TAG, tag(head.split(b" ", 2)[1]))
 
 
 def begin(role=fastcgi.RESPONDER):
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -14,7 +14,7 @@
 
 SENDING = 25 * MS  # of a req, at full pace
 LINKS = {"c1": 6.0, "p1": 20.0}  # transfers at once, as the list rates a cache and a hub
-LENGTH, BURST = 2 * S, 100 * MS
+LENGTH, BURST = 3 * S, 100 * MS
 PERMITS = Permits(
     dispatches=4, pass_through=True, joins=True, siblings=False, probes=False, call_off=True,
     longest_wait=0, subscribe=False,
@@ -83,7 +83,7 @@
     floor=st.sampled_from([0.06, 0.25, 0.47]), window=st.sampled_from([500 * MS, S, 1_500 * MS]),
     multiple=st.sampled_from([1.5, 2.0]), demand=st.sampled_from([60, 240, 600, 1_000]),
     seed=st.integers(0, 1 << 32), at=st.sampled_from(["c1", "p1"]), burst=st.booleans(),
-    fresh=st.sampled_from([0, 2]),
+    fresh=st.sampled_from([0, 1, 2]),
 )  # fmt: skip
 def test_all_routers_together_keep_a_cold_server_up(
     routers, floor, window, multiple, demand, seed, at, burst, fresh
@@ -107,4 +107,4 @@
     cold = ColdStart(floor=floor, ramp=16 * S, multiple=2.0, window=S, routers=routers)
     times = sent_to_cold(routers, cold, "c1", 600, random.Random(7), fresh=fresh)
     print(f"{routers} routers, floor {floor}, fresh {fresh}: {len(times)} reqs in {LENGTH // S} s")
-    assert len(times) >= (1 if fresh else 5)
+    assert len(times) >= (1 if fresh else 10)
--- a/tests/test_large_objects.py
+++ b/tests/test_large_objects.py
@@ -115,7 +115,10 @@
     paced.stuck.add(41)
     paced.came(15 * S, 41, LARGE)
     paced.play(30 * S)
-    assert paced.ends[41] <= 20 * S and not paced.sending.get((41, 0))
+    own = LARGE / 1_000 / PACE * S
+    patience = control.PATIENCE * (400 * MS + 2.0 * own)  # of its target, 3 s, where its client waits for 5
+    assert 15 * S + patience <= paced.ends[41] <= 15 * S + patience + 10 * MS
+    assert (41, 0) not in paced.sending
 
 
 @pytest.mark.parametrize("memory", [1, 4])
