Lease scenario: a fault at the holder waits for one, and doesn't kill a claimant that starts

Cause: the schedule's first fault stops the holder by SIGUSR1 2 s after the start. Beside load nobody has acted by then, and the fault went to the first claimant while it was starting: it had no handler yet, so the signal ended it for good. With one claimant left nobody could take over, and no act under a lower number could come.

The test is unchanged.

--- a/quartzrouter/fault_scenarios/leases.py
+++ b/quartzrouter/fault_scenarios/leases.py
@@ -31,6 +31,7 @@
 S = 1_000_000
 TASK = "sweep"
 HALTS_WITHIN = 0.15  # s: a holder looks and acts some fifty times a second
+ACT_POLL_INTERVAL = 0.02  # s
 ENDS_WITHIN = 2.0  # s at SIGTERM
 VOTES_WITHIN = 30.0  # s until all keepers vote
 ACTS_PER_SECOND = 10  # of a play that are wanted: with fewer, too little was looked at
@@ -202,10 +203,28 @@
         party.start()
 
     async def _holder(self, fault: Fault) -> None:
-        """As the kind that `who` names, at whoever has acted last."""
-        last = history_checks.acts(self.history)
-        who = last[-1].who if last else "c0"
-        await self.strike(Fault(fault.at, fault.who, who, fault.lasts, fault.much))
+        """As the kind that `who` names, at whoever has acted last.
+
+        Where that process is still starting, or nobody has acted yet, it waits for an act, for as long as
+        the fault would last: a process that starts has no handler for SIGUSR1 yet, which would end it.
+        """
+        with anyio.move_on_after(fault.lasts / 1000):
+            while not self._last_to_act():
+                await anyio.sleep(ACT_POLL_INTERVAL)
+        holder = self._last_to_act()
+        if holder:
+            await self.strike(Fault(fault.at, fault.who, holder, fault.lasts, fault.much))
+
+    def _last_to_act(self) -> str:
+        """The claimant that has acted last; empty where none has, or where it was started again since."""
+        acts = history_checks.acts(self.history)
+        if not acts:
+            return ""
+        last = acts[-1]
+        is_starting = any(
+            event.who == last.who and event.at > last.began for event in self.history.of("start")
+        )
+        return "" if is_starting else last.who
 
     async def _fail(self, fault: Fault) -> None:
         """Acts of one claimant go wrong."""
