Shared limits: a router says that grants come after their end, and counts as cut off then

Cause, from evidence: grants came after what they grant had ended. LocalQuota dropped such a grant silently and took it for a sign that grants come, so neither `no grants come` nor anything else was said.

Change: late grants are counted and logged with the delay; they don't count as grants that come. test_grants_that_come_after_their_end_are_told_as_such fails without it (there was no such count).

Tried and dropped: a router that asks no more often than it is answered.

--- a/quartzrouter/quota/client.py
+++ b/quartzrouter/quota/client.py
@@ -15,6 +15,7 @@
 IDLE_TTLS = 3  # times to live without a request after which a budget is asked for no more
 IDLE_INTERVAL = 250_000  # microseconds until the next look where no budget is in use
 MIN_INTERVAL = 5_000  # microseconds between two looks
+MICROSECONDS_PER_MILLISECOND = 1_000
 MAX_PLAIN_PARTITION = 64  # characters; longer names of tenants are hashed, which bounds the messages
 
 
@@ -25,13 +26,18 @@
     :param admitted_by_guarantee: requests that the guaranteed minimum admitted.
     :param denied: requests.
     :param invalid_grants: messages that were not obeyed.
-    :param cut_off: partitions in use for which no grant comes.
+    :param cut_off: partitions in use for which no grant comes in time.
+    :param late_grants: messages that came after what they grant had expired.
+    :param answer_delay: microseconds from the last answered request to its grant, the longest of the
+        partitions'.
     """
 
     admitted_by_guarantee: int = 0
     denied: int = 0
     invalid_grants: int = 0
     cut_off: int = 0
+    late_grants: int = 0
+    answer_delay: int = 0
 
 
 def describe_changes(now: QuotaCounters, before: QuotaCounters) -> str:
@@ -39,6 +45,7 @@
     admitted = now.admitted_by_guarantee - before.admitted_by_guarantee
     denied = now.denied - before.denied
     invalid_grants = now.invalid_grants - before.invalid_grants
+    late_grants = now.late_grants - before.late_grants
     parts = []
     if now.cut_off and admitted:
         parts.append(f"no grants come: {admitted} requests admitted by the guaranteed minimum")
@@ -46,6 +53,9 @@
         parts.append("grants come again")
     if parts and denied:
         parts.append(f"{denied} denied")
+    if late_grants:
+        delay_ms = now.answer_delay // MICROSECONDS_PER_MILLISECOND
+        parts.append(f"{late_grants} grants came after their end, the last grant after {delay_ms} ms")
     if invalid_grants:
         parts.append(f"{invalid_grants} invalid grants ignored")
     return ", ".join(parts)
@@ -215,5 +225,7 @@
                 sum(quota.denied for quota in quotas.values()),
                 sum(quota.invalid_grants for quota in quotas.values()),
                 sum(key in self.last_used and quota.is_cut_off(now) for key, quota in quotas.items()),
+                sum(quota.late_grants for quota in quotas.values()),
+                max((quota.answer_delay for quota in quotas.values()), default=0),
             )
         return found
--- a/quartzrouter/quota/local_quota.py
+++ b/quartzrouter/quota/local_quota.py
@@ -69,9 +69,11 @@
         self.demand = 0  # requests since then that the guaranteed minimum didn't suffice for
         self.recent_demand: deque[DemandSample] = deque()
         self.last_grant_at = now
+        self.answer_delay = 0  # microseconds from a request for quota to its grant, of the last one
         self.admitted_by_guarantee = 0
         self.denied = 0
         self.invalid_grants = 0
+        self.late_grants = 0
 
     # -- use -------------------------------------------------------------------------------------------
 
@@ -174,7 +176,7 @@
         return self.tokens_left(now) >= 1 or has_slots
 
     def is_cut_off(self, now: int) -> bool:
-        """Whether no grant has come for a time to live, so that only the guaranteed minimum is left."""
+        """Whether for a time to live no grant came in time: only the guaranteed minimum is left."""
         return now - self.last_grant_at > self.budget.grant_ttl
 
     # -- requests for quota ----------------------------------------------------------------------------
@@ -243,11 +245,13 @@
         if requested_at is None:
             self.invalid_grants += 1
             return False
-        self.last_grant_at = now
+        self.answer_delay = now - requested_at
         self._forget_requests_before(grant.sequence_number)
         expires_at = self.budget.grant_expiry(requested_at)
         if expires_at <= now:
+            self.late_grants += 1
             return False
+        self.last_grant_at = now
         if grant.tokens:
             self.token_grants.append(TokenGrant(expires_at, grant.tokens))
         if grant.sequence_number == self.last_sequence_number:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -14,6 +14,7 @@
 from quartzrouter.model_checking.quota_model import PLAYED, Bounds, QuotaModel
 from quartzrouter.quota.allocator import QuotaAllocator
 from quartzrouter.quota.budget import SECOND, Budget
+from quartzrouter.quota.client import QuotaClient, QuotaCounters, describe_changes
 from quartzrouter.quota.fairness import max_min_fair_share
 from quartzrouter.quota.local_quota import LocalQuota
 from quartzrouter.quota.messages import QuotaGrant, QuotaRefusal, QuotaRequest
@@ -315,6 +316,33 @@
     assert quota.invalid_grants == 1 and quota.tokens_left(1) == 0
 
 
+class HandClock:
+    """A monotonic clock, set by hand; microseconds."""
+
+    def __init__(self):
+        self.now = 0
+
+    def __call__(self):
+        return self.now
+
+
+def test_grants_that_come_after_their_end_are_told_as_such():
+    """A router whose grants are all late lives off its guaranteed minimum, and its log must say why."""
+    clock = HandClock()
+    client = QuotaClient([RATE], "r", "t", clock)
+    for _ in range(3):
+        client.time_until_admitted("fills")
+        (request,) = client.due_requests()
+        clock.now += 3 * RATE.grant_ttl
+        client.apply_grants([QuotaGrant("fills", "t", request.sequence_number, tokens=2.0, slots=0)])
+    client.time_until_admitted("fills")
+    counters = client.counters()["fills"]
+    assert counters.late_grants == 3 and counters.cut_off
+    assert not client.quotas["fills"].tokens_left(clock.now)
+    said = describe_changes(counters, QuotaCounters())
+    assert f"3 grants came after their end, the last grant after {3 * RATE.grant_ttl // 1_000} ms" in said
+
+
 @given(st.lists(st.floats(0, 1e6), min_size=1, max_size=12), st.floats(0.1, 1e6))
 def test_max_min_gives_all_there_is_and_nobody_more_than_it_wants(demands, capacity):
     shares = [min(demand, max_min_fair_share(demands, capacity)) for demand in demands]
