Leases: rounds of one attempt share a fencing token, so that slow disks prevent no lease

Cause: an acceptor replies once the token is on its disk; a proposer chose a higher token for each round, every quarter of a lease. Each round so needed another write and was answered after the next had begun, and replies to older rounds don't count.

Change: a proposer that holds no lease repeats its token until votes are released, a lease is lost, or an acceptor has seen another's token as high. Under a token that is written acceptors reply at once. A lease still counts from its own round's request.

--- a/quartzrouter/fault_scenarios/leases.py
+++ b/quartzrouter/fault_scenarios/leases.py
@@ -36,7 +36,6 @@
 VOTES_WITHIN = 30.0  # s until all keepers vote
 ACTS_PER_SECOND = 10  # of a play that are wanted: with fewer, too little was looked at
 ROUNDS_MOST = 3  # plays of the schedule within which a busy machine has to get as many done
-MEMORY_FOLDER = Path("/dev/shm")  # acceptors' folders lie here where it exists, see _folder()
 
 PLAN = """{{
   deployment: {{ name: "l", home: "north", listen: "127.0.0.1:8443" }},
@@ -318,16 +317,6 @@
     )
 
 
-def _folder() -> tempfile.TemporaryDirectory:
-    """A folder for the processes' files, in memory where the system offers that.
-
-    An acceptor votes once its token is durable.  On a disk that takes half of the scenario's short lease to
-    make a write durable, no vote comes in time and no lease is ever gained.  Processes are killed here, not
-    machines, so nothing is lost by files in memory; writes that are lost or torn have tests of their own.
-    """
-    return tempfile.TemporaryDirectory(dir=MEMORY_FOLDER if MEMORY_FOLDER.is_dir() else None)
-
-
 async def _play(
     chance: random.Random,
     shape: ScenarioSize,
@@ -335,7 +324,7 @@
     guards: Sequence[str],
     enough: Callable[[ScenarioResult], bool],
 ) -> ScenarioResult:
-    with _folder() as name, anyio.fail_after(ROUNDS_MOST * shape.seconds + 60):
+    with tempfile.TemporaryDirectory() as name, anyio.fail_after(ROUNDS_MOST * shape.seconds + 60):
         fleet = LeaseFleet(Path(name), chance, shape, guards)
         try:
             async with anyio.create_task_group() as tasks:
--- a/quartzrouter/leases/proposer.py
+++ b/quartzrouter/leases/proposer.py
@@ -49,7 +49,8 @@
 
     The other fields are its state: `highest_token_seen` is the highest fencing token that it has heard of,
     `granted_by` and `answered_by` are acceptors of the current round, `refusals_by_holder` counts those that
-    have voted for another proposer.
+    have voted for another proposer.  `may_repeat_token` tells whether the next round may ask under the same
+    fencing token.
     """
 
     terms: LeaseTerms
@@ -74,6 +75,7 @@
     failures: int = 0
     refusal: str = ""  # why a request was not obeyed
     draws: int = 0  # chance draws so far
+    may_repeat_token: bool = False
 
     def __post_init__(self) -> None:
         self.next_request_at = self.now + self._jitter() + self._preference_delay()
@@ -110,11 +112,8 @@
         return max(0, min(next_request_at, last_action_at) - now)
 
     def _request_votes(self, now: int, wall_clock: int) -> list[Effect]:
-        if not self.is_holder:
-            # Each attempt has a fencing token of its own, so that a late release of an earlier one undoes
-            # nothing.  The wall clock is a floor for the case that all acceptors have forgotten theirs.
-            candidate = max(self.highest_token_seen + 1, self.fencing_token + 1, wall_clock)
-            self.fencing_token = min(MAX_FENCING_TOKEN, candidate)
+        if not self.is_holder and not self.may_repeat_token:
+            self._raise_token(wall_clock)
         self.round += 1
         self.requested_at = now
         self.granted_by = set()
@@ -132,6 +131,19 @@
         )
         return [SendToAcceptors(request)]
 
+    def _raise_token(self, wall_clock: int) -> None:
+        """Chooses a fencing token for the next attempt.
+
+        Each attempt has one of its own, so that a late release of an earlier one undoes nothing.  The wall
+        clock is a floor for the case that all acceptors have forgotten theirs.  An attempt goes on under its
+        token for as long as nothing was released and no acceptor has seen another's as high.  Guards against
+        disks that make a token durable more slowly than rounds follow each other: under a token that they
+        have written acceptors reply at once, under ever new ones never in time.
+        """
+        candidate = max(self.highest_token_seen + 1, self.fencing_token + 1, wall_clock)
+        self.fencing_token = min(MAX_FENCING_TOKEN, candidate)
+        self.may_repeat_token = True
+
     # -- replies -------------------------------------------------------------------------------------------
 
     def handle_reply(self, reply: VoteReply, now: int) -> list[Effect]:
@@ -145,6 +157,9 @@
         if not 0 <= reply.highest_token <= MAX_FENCING_TOKEN:
             return []
         self.highest_token_seen = max(self.highest_token_seen, reply.highest_token)
+        is_token_taken = not reply.granted and reply.highest_token >= self.fencing_token
+        if is_token_taken or reply.highest_token > self.fencing_token:
+            self.may_repeat_token = False
         if reply.round != self.round or reply.acceptor in self.answered_by:
             return []
         self.answered_by.add(reply.acceptor)
@@ -194,7 +209,7 @@
             penalty = self._jitter() + self._preference_delay() + self._failure_penalty()
             self.next_request_at = now + pause + penalty
         self.held_by_other_until = 0
-        return [SendToAcceptors(self._release_message())] if self.granted_by else []
+        return self._release_votes() if self.granted_by else []
 
     def vote_available(self, now: int) -> None:
         """An acceptor tells that its vote is free: those of the others soon are, too."""
@@ -227,25 +242,27 @@
         self.is_wanted = False
         if self.is_holder:
             return self._give_up("it was given up", now)
-        return [SendToAcceptors(self._release_message())] if self.granted_by else []
+        return self._release_votes() if self.granted_by else []
 
     def _give_up(self, reason: str, now: int) -> list[Effect]:
         """Ends the lease first, then says so: actions end before another proposer can start."""
         effects = self._lose(reason, now)
-        return [*effects, SendToAcceptors(self._release_message())]
+        return [*effects, *self._release_votes()]
 
     def _lose(self, reason: str, now: int) -> list[Effect]:
         self.is_holder = False
         self.lease_ends_at = 0
         self.holder = ""
         self.granted_by = set()
+        self.may_repeat_token = False
         self.round += 1  # replies to the last round count no more
         penalty = self._jitter() + self._preference_delay() + self._failure_penalty()
         self.next_request_at = now + penalty
         return [LeaseLost(reason)]
 
-    def _release_message(self) -> VoteRelease:
-        return VoteRelease(self.task, self.name, self.process_token, self.fencing_token)
+    def _release_votes(self) -> list[Effect]:
+        self.may_repeat_token = False
+        return [SendToAcceptors(VoteRelease(self.task, self.name, self.process_token, self.fencing_token))]
 
     # -- delays --------------------------------------------------------------------------------------------
 
--- a/quartzrouter/model_checking/lease_model.py
+++ b/quartzrouter/model_checking/lease_model.py
@@ -256,7 +256,8 @@
             claim = it.claim
             held = (max(0, claim.lease_ends_at - slow),) if claim.is_holder else ()
             age = min(slow - claim.requested_at, 2 * LENGTH)
-            return held, claim.fencing_token, claim.highest_token_seen, age, it.looked, it.asked
+            tokens = (claim.fencing_token, claim.highest_token_seen, claim.may_repeat_token)
+            return held, tokens, age, it.looked, it.asked
 
         # keepers are alike: which of them it is tells no states apart
         keepers = sorted((keeper(k, it) for k, it in enumerate(world.keepers)), key=repr)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 from concurrent.futures import ProcessPoolExecutor
 from itertools import permutations
 from multiprocessing import get_context
@@ -388,21 +389,21 @@
 
 
 class KeeperHere(Server):
-    def __init__(self, name, terms):
-        self.service = LeaseServer(terms, name, RateLimitedLog(name, net.wall_clock))
+    def __init__(self, name, terms, storage=None):
+        self.service = LeaseServer(terms, name, RateLimitedLog(name, net.wall_clock), storage)
         self.service.acceptor.votes_from = 0
 
     async def serve(self, stream):
         await self.service.serve(stream)
 
 
-def over_sockets(scene, names=("a", "b"), length=600_000):
+def over_sockets(scene, names=("a", "b"), length=600_000, storage_of=lambda name: None):
     terms = LeaseTerms(("k0", "k1", "k2"), ttl=length, tasks=(("sweep", ()),))
 
     async def main():
         with anyio.fail_after(30):
             async with anyio.create_task_group() as tasks:
-                keepers = {name: KeeperHere(name, terms) for name in terms.acceptors}
+                keepers = {name: KeeperHere(name, terms, storage_of(name)) for name in terms.acceptors}
                 for each in keepers.values():
                     await each.start(tasks)
                 addresses = {name: ("127.0.0.1", each.port) for name, each in keepers.items()}
@@ -445,6 +446,52 @@
     assert done[1] == (done[0][0], "ends") and done[2][0] != done[0][0]
 
 
+class SlowStorage(TokenStorage):
+    """A disk on which each write takes its time."""
+
+    def __init__(self, folder, name, write_time):
+        super().__init__(str(folder), name, lambda line: None)
+        self.write_time = write_time
+
+    def write(self, tokens):
+        time.sleep(self.write_time)
+        super().write(tokens)
+
+
+LEASES_UNTIL_HELD = 4
+
+
+@pytest.mark.parametrize("write_time", [0.2, 0.5])
+def test_disks_slower_than_a_round_of_requests_delay_a_lease_and_prevent_none(tmp_path, write_time):
+    """Rounds follow each other in 150 ms: a vote that waits for the disk comes after the next request."""
+    begins, active = [], []
+
+    async def scene(tasks, keepers, claims):
+        async def work(name, hold):
+            active.append(name)
+            assert len(active) == 1
+            begins.append(hold.fencing_token)
+            try:
+                await anyio.sleep_forever()
+            finally:
+                active.remove(name)
+
+        for each in claims:
+            tasks.start_soon(each.perform, "sweep", lambda hold, name=each.name: work(name, hold))
+        for handovers in range(3):
+            with anyio.fail_after(LEASES_UNTIL_HELD * 0.6):
+                while len(begins) == handovers or not active:
+                    await anyio.sleep(0.01)
+            await anyio.sleep(1.3)  # it is renewed, with no write
+            assert len(begins) == handovers + 1
+            await next(each for each in claims if each.name == active[0]).release()
+
+    over_sockets(
+        scene, names=("a", "b", "c"), storage_of=lambda name: SlowStorage(tmp_path / name, name, write_time)
+    )
+    assert begins == sorted(set(begins))
+
+
 def test_work_that_raises_costs_the_task_and_no_traceback():
     began = []
 
