Purge delivery: a poll that a delivery overtakes doesn't make the purge count as lost

Cause: the delivery process asks each cache every second up to what it has purged. A purge that is delivered on the other connection while the answer is on its way makes that answer too low: the cache counted as one with an older disk, its purges were received and delivered again, and what had settled began anew.

Evidence: test_a_poll_that_a_delivery_overtakes_does_not_make_the_purge_count_as_lost failed (purged up to 0 where 1 is wanted) and passes. An answer that a delivery has overtaken is passed over; the next poll comes a second later.

--- a/quartzrouter/purge_log/delivery.py
+++ b/quartzrouter/purge_log/delivery.py
@@ -146,8 +146,13 @@
                 await self._poll_cache()
 
     async def _poll_cache(self) -> None:
-        """Asks the cache up to what it has purged; where it has lost something, receives that again."""
+        """Asks the cache up to what it has purged; where it has lost something, receives that again.
+
+        An answer that a delivery has overtaken tells less than the cache has purged by now. It is passed
+        over, or what was just delivered would count as lost.
+        """
         was_up = self.queue.is_up
+        deliveries_before = self.deliveries_started
         try:
             purged_up_to = await self.connections[0].request("GET", "/purged", ())
         except DeliveryError as error:
@@ -157,6 +162,8 @@
         else:
             if not was_up:
                 self.report.say("cache", f"{self.name} answers, and has purged up to {purged_up_to}")
+            if was_up and self.deliveries_started != deliveries_before:
+                return
             lacks_nothing = self.queue.reported(purged_up_to, self.replica.applied_up_to, wall_clock())
             if not lacks_nothing:
                 self.replica.applied_up_to = purged_up_to
--- a/tests/test_purge_delivery.py
+++ b/tests/test_purge_delivery.py
@@ -2,9 +2,11 @@
 
 import random
 
+import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from quartzrouter.purge_log.delivery import DeliveryWorker
 from quartzrouter.purges.delivery_plan import (
     MAX_BACKOFF,
     MAX_IN_FLIGHT,
@@ -17,6 +19,8 @@
 )
 from quartzrouter.purges.messages import Purge
 from quartzrouter.purges.settling_purges import SettlingPurges
+from quartzrouter.server.clock import wall_clock
+from quartzrouter.server.rate_limited_log import RateLimitedLog
 
 SECOND = 1_000_000  # us
 START = 100 * SECOND
@@ -210,6 +214,41 @@
     assert first == Purge(5, 5, "all") and [each.sequence_number for each in others] == [*range(6, 12)]
 
 
+class PolledConnection:
+    """A connection to a cache: while its answer to a poll is on its way, a purge is delivered on another."""
+
+    def __init__(self, deliver_meanwhile):
+        self.deliver_meanwhile = deliver_meanwhile
+
+    async def request(self, method, target, headers):
+        await self.deliver_meanwhile()
+        return 0
+
+
+class Delivered:
+    """A connection to a cache that takes each purge."""
+
+    async def request(self, method, target, headers):
+        return 1
+
+
+def test_a_poll_that_a_delivery_overtakes_does_not_make_the_purge_count_as_lost():
+    report = RateLimitedLog("courier", wall_clock)
+    worker = DeliveryWorker("c1", ("127.0.0.1", 1), [("127.0.0.1", 1)], 300_000, report, RATE)
+    queue = worker.queue
+    queue.reported(0, 0, wall_clock() - SECOND)
+    queue.add([purge(1)], 0)
+    worker.replica.applied_up_to = 1
+
+    async def deliver_meanwhile():
+        (delivery,) = queue.next_deliveries(wall_clock())
+        await worker._deliver(delivery)
+
+    worker.connections = [PolledConnection(deliver_meanwhile), Delivered()]
+    anyio.run(worker._poll_cache)
+    assert queue.purged_up_to == 1 and worker.replica.applied_up_to == 1
+
+
 @settings(max_examples=60, deadline=None)
 @given(st.integers(0, 10_000), st.sampled_from((0, SETTLE_TIME)))
 def test_whatever_fails_all_purges_are_delivered_and_only_confirmed_ones_count(seed, settle_time):
