Purge log: a member's Session is a module of its own, which ends a circle of imports

Session needs neither: it goes to session.py, code unchanged. The other circle, server/client_connection.py and client_connections.py, stays: it is one of types only, and a protocol class there would be loaded by the platform's process. Measured: nothing but the tests of both modules, which pass.

--- a/quartzrouter/purge_log/health_service.py
+++ b/quartzrouter/purge_log/health_service.py
@@ -1,18 +1,15 @@
 """Aggregates routers' health reports, and tells routers which caches to eject."""
 
 from collections.abc import Callable, Collection
-from typing import TYPE_CHECKING
 
 import anyio
 
 from quartzrouter.fleet_health.aggregator import HealthAggregator
 from quartzrouter.fleet_health.reports import REPORT_INTERVAL, URGENT_REPORT_INTERVAL
+from quartzrouter.purge_log.session import Session
 from quartzrouter.purges.members import Member
 from quartzrouter.purges.messages import EjectionVerdicts, HealthReply, HealthReport, StoreHealth
 
-if TYPE_CHECKING:
-    from quartzrouter.purge_log.sessions import Session
-
 MICROSECONDS_PER_SECOND = 1e6
 
 
@@ -46,7 +43,7 @@
         """Forgets the reports of a router that has stopped on purpose."""
         self.aggregator.remove_router(member_name)
 
-    async def run(self, sessions: Callable[[], Collection["Session"]]) -> None:
+    async def run(self, sessions: Callable[[], Collection[Session]]) -> None:
         """Sends verdicts until it is cancelled.
 
         Routers are told at intervals while there are caches to eject, once when there are none any more,
@@ -62,7 +59,7 @@
                 await self.failure_reported.wait()
             self._send_verdicts([session for session in sessions() if session.reported_store])
 
-    def _send_verdicts(self, sessions: list["Session"]) -> None:
+    def _send_verdicts(self, sessions: list[Session]) -> None:
         now = self.steady_clock()
         is_full = now >= self.next_full_at
         self.aggregator.expire(now)
--- a/quartzrouter/purge_log/sessions.py
+++ b/quartzrouter/purge_log/sessions.py
@@ -1,6 +1,5 @@
 """Members' connections: what each has been sent, what it reports, and the heartbeats that renew its lease."""
 
-from collections import deque
 from collections.abc import AsyncIterator, Callable
 
 import anyio
@@ -8,19 +7,17 @@
 from quartzrouter.purge_log.health_service import HealthService
 from quartzrouter.purge_log.leadership import Leadership
 from quartzrouter.purge_log.quota_service import QuotaService
+from quartzrouter.purge_log.session import Session
 from quartzrouter.purges import messages
 from quartzrouter.purges.freshness_lease import heartbeat_interval
-from quartzrouter.purges.members import Member
 from quartzrouter.purges.messages import (
     CaughtUp,
-    EjectionVerdicts,
     HealthReport,
     Heartbeat,
     MemberAck,
     MemberHello,
     MemberLeave,
     PurgeBatch,
-    QuotaGrants,
     QuotaRequests,
     RequestRejected,
     Welcome,
@@ -29,38 +26,9 @@
 from quartzrouter.server.rate_limited_log import RateLimitedLog
 
 WRITE_TIMEOUT = 5.0  # s: a member that takes nothing for so long is given up
-MAX_QUEUED_MESSAGES = 16  # grants and verdicts for one member; older ones have run out
 MICROSECONDS_PER_SECOND = 1e6
 
 
-class Session:
-    """One member's connection.
-
-    :param sent_up_to: the sequence number up to which it has every purge.
-    """
-
-    def __init__(self, member: Member, sent_up_to: int):
-        self.member = member
-        self.sent_up_to = sent_up_to
-        self.scope = anyio.CancelScope()
-        self.sent_caches_caught_up: dict[str, int] | None = None
-        self.changed = anyio.Event()  # there is something to send
-        self.queued: deque[QuotaGrants | EjectionVerdicts] = deque(maxlen=MAX_QUEUED_MESSAGES)
-        self.reported_store = ""  # the store whose caches it reports, if any
-        self.was_sent_verdicts = False  # it was last told to eject a cache
-        self.wants_loads = False  # it wants to know how many requests are in flight at caches
-
-    def wake(self) -> None:
-        """Lets the writer look for something to send."""
-        self.changed.set()
-        self.changed = anyio.Event()
-
-    def queue(self, message: QuotaGrants | EjectionVerdicts) -> None:
-        """Queues a message beside the purges."""
-        self.queued.append(message)
-        self.wake()
-
-
 class Sessions:
     """The connections of all members, one a name.
 
