The busy router's test at its clients' own rate is back, beside the one that waits

Change: the test as it was before (600 requests at a rate of their own, all 200, the guard says nothing) stands again under a name of its own, beside the one that waits.

--- a/tests/test_spin_guard.py
+++ b/tests/test_spin_guard.py
@@ -223,6 +223,24 @@
     assert [line for line in router.output.splitlines() if line.startswith("AUDIT")] == audited
 
 
+def test_a_router_busy_at_its_clients_rate_is_not_taken_for_one_that_spins(tmp_path):
+    """Many requests at once, also while the router is late, keep its loop busy: the guard says nothing."""
+
+    async def scene(router):
+        async with anyio.create_task_group() as askers:
+            for id in range(1, 601):
+                askers.start_soon(router.send_and_record, id, 3.0)
+                if id % 3 == 0:
+                    await anyio.sleep(0.01)
+
+    router = Process(tmp_path, ROUTER_WITH_FAULT.format(""))
+    router.run_scene(scene, limits={"sockets": 1024})
+    assert len(router.outcomes) == 600 and all(
+        "200" in outcome.status for outcome in router.outcomes.values()
+    )
+    assert ": event loop: " not in router.output
+
+
 def test_a_busy_router_is_not_taken_for_one_that_spins(tmp_path):
     """Clients that send as fast as they are answered keep the event loop busy: the guard says nothing.
 
