Purge scenario: the time in which it has the purge log down doesn't end the play

Cause: the scenario kills the purge log and starts it again; beside load Python takes over 5 s to start (8 s seen), and a purge that finds no purge log for 5 s ends the play. It was the scenario itself that had it down.

--- a/quartzrouter/fault_scenarios/purge_fleet.py
+++ b/quartzrouter/fault_scenarios/purge_fleet.py
@@ -91,6 +91,7 @@
         self.caches: dict[str, PurgeableCache] = {}
         self.stopping = anyio.Event()
         self.max_lag = 0  # us
+        self.is_purge_log_down = False  # killed by the scenario, and not listening again yet
 
     # -- parties -------------------------------------------------------------------------------------------
 
@@ -230,7 +231,8 @@
     async def purge(self, requests: list[PurgeRequest]) -> None:
         """Sends purges, again until a purge log answers.
 
-        :raises UnreachableError: where none does for PURGE_TIMEOUT.
+        :raises UnreachableError: where none does for PURGE_TIMEOUT; the time in which the scenario itself has
+            the purge log down doesn't count, which is long where a process starts slowly.
         """
         client = QueryClient([("127.0.0.1", self.purge_log_port)], QUERY_TIMEOUT)
         give_up_at = process.wall_clock() + PURGE_TIMEOUT
@@ -239,6 +241,8 @@
                 answers = await client.ask_all(requests)
                 break
             except UnreachableError:
+                if self.is_purge_log_down:
+                    give_up_at = process.wall_clock() + PURGE_TIMEOUT
                 if process.wall_clock() > give_up_at:
                     raise
                 await anyio.sleep(0.05)
@@ -260,9 +264,12 @@
     async def restart_purge_log(self, downtime: float) -> None:
         """Kills the purge log, and starts it again after some seconds."""
         since = process.wall_clock()
+        self.is_purge_log_down = True
         self.ledgers[0].kill()
         await anyio.sleep(downtime)
         self.ledgers[0].start()
+        await self.up(self.purge_log_port)
+        self.is_purge_log_down = False
         await self.joined()
         self.checker.cut_offs.append(CutOff(None, since, process.wall_clock()))
 
