Standalone router: each SIGHUP names what is kept from the start, and only that

What operators saw: a second SIGHUP with the same plan told that nothing is kept, though the process still ran with the old value; `counts`, `routers` and `routers_here` were named as kept and take effect at once.

Cause: a reload compared with the plan of the last reload, not with that of the start.

Change: it compares with the plan of the start, without the three keys. test_each_reload_names_what_stays_as_the_process_was_started failed ("descriptors, routers, routers_here kept", then nothing) and passes.

--- a/quartzrouter/standalone/process.py
+++ b/quartzrouter/standalone/process.py
@@ -30,6 +30,9 @@
 from quartzrouter.standalone.state_machine import ConfigurationReplaced, StandaloneStateMachine
 from quartzrouter.standalone.structured_log import StructuredLog
 
+# Keys of the deployment that a reload puts in force: health reports and budgets of shared limits read them.
+TAKES_EFFECT_AT_RELOAD = ("counts", "routers", "routers_here")
+
 
 class StandaloneProcess(process.RouterProcess):
     """A router under a plan.
@@ -45,6 +48,7 @@
 
     def __init__(self, path: str, plan: Plan, log: Any, signals: Signals | None = None):
         self.plan = plan
+        self._started_with = plan
         self._logger = log
         super().__init__(configuration(plan), signals=signals)
         self._reloader = PlanReloader(path, self._apply, self.log)
@@ -130,16 +134,18 @@
         self.feed(ConfigurationReplaced(self.plan, endpoints))
 
     def _kept_until_restart(self, plan: Plan) -> list[str]:
-        """Keys of the deployment, and `purges`, that differ from the plan in force before.
+        """Keys of the deployment, and `purges`, that differ from what the process was started with.
 
-        The listening process keeps what it was started with; only a restart changes that. Compared is
-        the plan of the last reload, not that of the start: a change is named once, and so is its being
-        put back. Some keys are named that are also read from the new plan at once: `counts` for health
-        reports, `routers` and `routers_here` for budgets of shared limits, `journal` for whether the
-        listed endpoints count.
+        It keeps those until a restart, so each reload names them again. `journal` is named, though whether
+        the listed endpoints count is read from the new plan.
         """
-        kept = [key for key, value in self.plan.deployment.items() if plan.deployment[key] != value]
-        if plan.purges != self.plan.purges:
+        started_with = self._started_with
+        kept = [
+            key
+            for key, value in started_with.deployment.items()
+            if plan.deployment[key] != value and key not in TAKES_EFFECT_AT_RELOAD
+        ]
+        if plan.purges != started_with.purges:
             kept.append("purges")
         return kept
 
--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -218,6 +218,25 @@
     world.run_scene(scene)
 
 
+def test_each_reload_names_what_stays_as_the_process_was_started(world, capsys):
+    """A key is changed; the reload behind the next one must not tell that nothing is kept any more."""
+
+    async def scene(connect):
+        await connect()
+        text = world.config_path.read_text()
+        world.config_path.write_text(text.replace("descriptors: 256", "descriptors: 300, routers: 3"))
+        await reload()
+        await reload()
+        world.config_path.write_text(text)
+        await reload()
+
+    world.run_scene(scene)
+    lines = [json.loads(line) for line in capsys.readouterr().err.splitlines() if line.startswith("{")]
+    told = [line["event"] for line in lines if line["kind"] == "process" and "in force" in line["event"]]
+    kept = [event.partition("; ")[2] for event in told]
+    assert kept == ["descriptors kept until the next start", "descriptors kept until the next start", ""]
+
+
 def test_the_fallback_serves_while_caches_are_gone(world):
     """All caches of a pool are gone: its fallback serves after a while."""
     world.near_pool = 'fallback: "far", at_least: 1, back_after: 200ms'
