Purges: the points up to which purges settle are called checkpoints

Cause: the class was called Mark, a name of the house style that is withdrawn. Change: Checkpoint and its fields, in the module and in the model; nothing else.

--- a/quartzrouter/model_checking/crossing_fill_model.py
+++ b/quartzrouter/model_checking/crossing_fill_model.py
@@ -145,7 +145,7 @@
     @staticmethod
     def _may_deliver(world: World, state: CacheState) -> bool:
         queue = state.queue
-        is_due = any(mark.due_at <= world.now for mark in queue.settling.marks)
+        is_due = any(checkpoint.due_at <= world.now for checkpoint in queue.settling.checkpoints)
         return bool(queue.pending or queue.settled or is_due)
 
     def act(self, world: World, action: Action) -> None:
@@ -251,7 +251,7 @@
                     state.copy_made_at,
                     fill and (fill.began_at, fill.made_at, fill.is_purged),
                     (queue.taken_up_to, queue.purged_up_to, len(queue.pending), len(queue.settled)),
-                    tuple(queue.settling.marks),
+                    tuple(queue.settling.checkpoints),
                 )
             )
         return world.now, world.steps, world.fills, world.purged_at, world.knows_purge, tuple(parties)
--- a/quartzrouter/purges/settling_purges.py
+++ b/quartzrouter/purges/settling_purges.py
@@ -10,10 +10,12 @@
 
 from quartzrouter.purges.purge import Purge
 
-MARK_INTERVAL = 50_000  # us between two marks: they are few, and a purge settles so much later at most
+CHECKPOINT_INTERVAL = (
+    50_000  # us between two checkpoints: they are few, and a purge settles so much later at most
+)
 
 
-class Mark(NamedTuple):
+class Checkpoint(NamedTuple):
     """Purges up to a sequence number settle at a time.
 
     :param due_at: microseconds.
@@ -45,9 +47,9 @@
         self.settle_time = settle_time
         self.max_waiting = max_waiting
         self.waiting: deque[Purge] = deque()  # in their order
-        self.marks: deque[Mark] = deque()
-        self.marked_up_to = 0
-        self.next_mark_at = 0
+        self.checkpoints: deque[Checkpoint] = deque()
+        self.checkpointed_up_to = 0
+        self.next_checkpoint_at = 0
 
     def add(self, purge: Purge) -> None:
         """Adds a purge that the cache has taken for the first time."""
@@ -61,16 +63,16 @@
 
     def taken_everywhere(self, up_to: int, now: int) -> None:
         """Records up to which sequence number the cache and its parents have taken every purge."""
-        if up_to > self.marked_up_to and now >= self.next_mark_at:
-            self.marks.append(Mark(up_to, now + self.settle_time))
-            self.marked_up_to = up_to
-            self.next_mark_at = now + MARK_INTERVAL
+        if up_to > self.checkpointed_up_to and now >= self.next_checkpoint_at:
+            self.checkpoints.append(Checkpoint(up_to, now + self.settle_time))
+            self.checkpointed_up_to = up_to
+            self.next_checkpoint_at = now + CHECKPOINT_INTERVAL
 
     def pop_settled(self, now: int) -> list[Purge]:
         """Removes and returns the purges to be delivered again now, in their order."""
         settled_up_to = 0
-        while self.marks and self.marks[0].due_at <= now:
-            settled_up_to = self.marks.popleft().up_to
+        while self.checkpoints and self.checkpoints[0].due_at <= now:
+            settled_up_to = self.checkpoints.popleft().up_to
         settled = []
         while self.waiting and self.waiting[0].sequence_number <= settled_up_to:
             settled.append(self.waiting.popleft())
@@ -80,10 +82,10 @@
         """Removes and returns all, in their order: the cache may have lost what it had taken."""
         waiting = list(self.waiting)
         self.waiting.clear()
-        self.marks.clear()
-        self.marked_up_to = 0
+        self.checkpoints.clear()
+        self.checkpointed_up_to = 0
         return waiting
 
     def next_due_at(self, otherwise: int) -> int:
         """Returns when the next purges settle, or a given time where none do, in microseconds."""
-        return self.marks[0].due_at if self.marks else otherwise
+        return self.checkpoints[0].due_at if self.checkpoints else otherwise
