Purges: checkpoints of what settles are bounded, also with long client timeouts

What operators would have seen: a delivery process that grows with long client timeouts, 36,000 checkpoints a cache after an hour of ten purges a second. Found on reading again.

Change: 128 within a settle time; where that is long, the interval between them is longer. test_checkpoints_are_few_however_long_purges_take_to_settle failed (36,000 where under 140 are wanted) and passes; test_purge_delivery.py and test_explore.py, 30 passed.

--- a/quartzrouter/purges/settling_purges.py
+++ b/quartzrouter/purges/settling_purges.py
@@ -10,9 +10,8 @@
 
 from quartzrouter.purges.purge import Purge
 
-CHECKPOINT_INTERVAL = (
-    50_000  # us between two checkpoints: they are few, and a purge settles so much later at most
-)
+MIN_CHECKPOINT_INTERVAL = 50_000  # us between two checkpoints; a purge settles an interval late at most
+MAX_CHECKPOINTS = 128  # within a settle time; where that is long, the interval is longer
 
 
 class Checkpoint(NamedTuple):
@@ -48,6 +47,7 @@
         self.max_waiting = max_waiting
         self.waiting: deque[Purge] = deque()  # in their order
         self.checkpoints: deque[Checkpoint] = deque()
+        self.checkpoint_interval = max(MIN_CHECKPOINT_INTERVAL, settle_time // MAX_CHECKPOINTS)
         self.checkpointed_up_to = 0
         self.next_checkpoint_at = 0
 
@@ -66,7 +66,7 @@
         if up_to > self.checkpointed_up_to and now >= self.next_checkpoint_at:
             self.checkpoints.append(Checkpoint(up_to, now + self.settle_time))
             self.checkpointed_up_to = up_to
-            self.next_checkpoint_at = now + CHECKPOINT_INTERVAL
+            self.next_checkpoint_at = now + self.checkpoint_interval
 
     def pop_settled(self, now: int) -> list[Purge]:
         """Removes and returns the purges to be delivered again now, in their order."""
--- a/tests/test_purge_delivery.py
+++ b/tests/test_purge_delivery.py
@@ -214,6 +214,15 @@
     assert first == Purge(5, 5, "all") and [each.sequence_number for each in others] == [*range(6, 12)]
 
 
+def test_checkpoints_are_few_however_long_purges_take_to_settle():
+    """Client timeouts of half an hour, a purge each 100 ms: one for each of them would fill the memory."""
+    settling = SettlingPurges(3_600 * SECOND, max_waiting=10)
+    for number in range(1, 40_000):
+        settling.taken_everywhere(number, START + number * SECOND // 10)
+        settling.pop_settled(START + number * SECOND // 10)
+    assert 100 < len(settling.checkpoints) < 140
+
+
 class PolledConnection:
     """A connection to a cache: while its answer to a poll is on its way, a purge is delivered on another."""
 
