--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review; `REPORT.md` lists them."""
--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the cases of the review share; the standard library only."""
