Review, case 2: a fill that outlasts its client crosses a purge, from an entry

Cause: the time after which a purge counts as settled is a grace and twice the longest client timeout, as if a fill ended with the request that it is made for. So the second delivery comes before the old copy, which a cache that has purged then keeps, and the cache is trusted from the end of `life` on.

Parents and caches whose fills are joined and run on, in review/common.

--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -15,6 +15,7 @@
 from review.common.harness import ROOT, CaseCannotRun, Programs, Record
 from review.common.standins import headers_of, response
 
+REPEAT_EACH = 3  # of so many answers of the catalogue one has a second copy behind it
 FRAME_HEAD_SIZE = 9  # bytes that the length of an empty frame counts: its number and its kind
 
 
@@ -226,4 +227,5 @@
         body = f"held for {key}".encode()
         tag = hashlib.blake2b(body, digest_size=8).hexdigest()
         fields = {"X-Tag": tag, "X-Minted": str(int(time.time() * 1000))}
-        return response(200, fields, body), self.repeat_after is not None
+        has_second_copy = self.repeat_after is not None and len(self.held) % REPEAT_EACH == 0
+        return response(200, fields, body), has_second_copy
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -245,3 +245,78 @@
     """Returns when the origin made the copy that a body comes from."""
     found = re.search(rb" made ([0-9.]+)$", body)
     return float(found[1]) if found else 0.0
+
+
+class Fill:
+    """A fill under way."""
+
+    def __init__(self) -> None:
+        self.began_at = time.time()
+        self.is_done = threading.Event()
+        self.copy: Copy | None = None
+        self.may_be_kept = True
+
+
+class FillingCache(Cache):
+    """A cache or parent whose fills take time: they are joined, and run on when their client has left.
+
+    As `docs/purges.md` has it, a fill that began so long ago as a purge says, or longer, is not kept, and one
+    that began later is. A request that joins a fill gets the copy that the fill brings.
+
+    :ivar fill_limit: seconds after which a fill that has brought nothing is given up.
+    """
+
+    fill_limit = 3.8
+
+    def __init__(self, name: str, port: int, sources: dict[str, Cache], record: Record):
+        self.fills: dict[str, Fill] = {}  # by target
+        self.fill_lock = threading.Lock()
+        super().__init__(name, port, sources, record)
+
+    def find(self, target: str, headers: dict[str, str]) -> tuple[Copy | None, str]:
+        """Returns a copy that is young enough, or what a fill brings; joins a fill if the request may."""
+        limit = headers.get("x-fresh-ms")
+        tell = "merged"
+        with self.fill_lock:
+            copy = self.copies.get(target)
+            if copy and (not limit or time.time() - copy.made_at <= int(limit) / 1000):
+                return copy, "cached"
+            may_join = "ride" in headers.get("x-opts", "")
+            fill = self.fills.get(target) if may_join else None
+            if fill is None:
+                tell = "fetched"
+                fill = self.fills[target] = Fill()
+                threading.Thread(target=self._run, args=(fill, target, headers), daemon=True).start()
+        if tell == "merged":
+            age = time.time() - fill.began_at
+            self.record.say(f"{self.name}: a request joins the fill of {target} that began {age:.2f} s ago")
+        if not fill.is_done.wait(self.fill_limit):
+            return None, "up_lost"
+        return fill.copy, tell
+
+    def _run(self, fill: Fill, target: str, headers: dict[str, str]) -> None:
+        passed_on = ("x-fresh-ms", "x-path", "x-rank", "x-opts")
+        forwarded = {name: headers[name] for name in passed_on if name in headers}
+        source = self.sources.get(headers.get("x-parent", ""))
+        if source and not source.is_origin:  # a parent fills from the origin
+            forwarded["x-parent"] = next(each.name for each in self.sources.values() if each.is_origin)
+        copy = source.find(target, forwarded)[0] if source else None
+        is_in_time = time.time() - fill.began_at <= self.fill_limit
+        with self.fill_lock:
+            fill.copy = copy if is_in_time else None
+            if self.fills.get(target) is fill:
+                del self.fills[target]
+            if fill.copy and fill.may_be_kept and headers.get("x-rank", "0") != "0":
+                self.copies[target] = fill.copy
+                self.record.say(f"{self.name} keeps {fill.copy.body!r}")
+        fill.is_done.set()
+
+    def _purge(self, headers: dict[str, str]) -> bytes:
+        oldest_kept = time.time() - int(headers["x-purge-older-ms"]) / 1000
+        values = headers.get("x-purge-values", "").split()
+        with self.fill_lock:
+            for target, fill in self.fills.items():
+                is_named = headers["x-purge-kind"] != "object" or target.split("/")[3] in values
+                if is_named and fill.began_at <= oldest_kept:
+                    fill.may_be_kept = False
+            return super()._purge(headers)
