--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -178,6 +178,7 @@
     """
     import tempfile
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # ends the processes on the way
     record = Record(Path(folder))
     record.say(f"TROUBLE={1 if has_trouble() else 0}")
     with tempfile.TemporaryDirectory(prefix="review-") as temporary:
