--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -27,6 +27,7 @@
 
     status: int
     body: bytes
+    head: bytes = b""
 
 
 def _pairs(params: Mapping[str, str]) -> bytes:
@@ -96,7 +97,7 @@
         if kind == END:
             head, _, body = data.partition(b"\r\n\r\n")
             status = re.match(rb"Status: (\d+)", head)
-            return Answer(int(status[1]) if status else 0, body)
+            return Answer(int(status[1]) if status else 0, body, head)
 
 
 @dataclass
