--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 9: a router under a plan looks for purges of another object than the one that it asks for."""
+"""Case 9: of tags in two field lines of an answer, a router knows the last line's only."""
 
 import asyncio
 import json
@@ -21,13 +21,21 @@
   pools: { all: {} },
   routes: { pages: { match: {}, vhost: "pages", pool: "all" } },
 }"""
-OBJECT = "7f3a9c21e0b4d655"  # as a front names it in X-Subject
+TAGS = {"rose", "care-sheet"}
+
+
+def tag_lines(path: str) -> list[str]:
+    """Returns the lines that name the tags: two of one field, or one that lists both."""
+    if path.endswith("/two-lines"):
+        return ["Cache-Tag: rose", "Cache-Tag: care-sheet"]
+    return ["Cache-Tag: rose, care-sheet"]
 
 
 async def play(programs: Programs, record: Record) -> bool:
-    """Plays the case; returns True if nobody got a copy that was made before its purge."""
-    origin = await Cache("origin", record, is_origin=True).start()
-    box = await Cache("box-1", record, {"origin": origin.port}).start()
+    """Plays the case; returns True if nobody got a copy that was made before the purge of its tag."""
+    origin = await Cache("origin", record, is_origin=True, tag_lines=tag_lines).start()
+    box = await Cache("box-1", record, {"origin": origin.port}, tag_lines=tag_lines).start()
+    box.tags_of = lambda _path: TAGS
     link = await Link(box.port, record, "the link from the courier to box-1").start()
     port, ledger_port = free_ports(2)
     ledger_at = f"127.0.0.1:{ledger_port}"
@@ -53,20 +61,25 @@
 
     await wait_until("router and cache are live members", all_live, 20)
     front = Front(port, record)
-    await front.get("/rpc/pages", HTTP_X_SUBJECT=OBJECT)
+    paths = ("/care/two-lines", "/care/one-line")
+    for path in paths:
+        await front.get(path)
     if programs.disturb:
         link.cut()
         await wait_until("box-1 is away", box_is_away, 20)
     await asyncio.sleep(0.5)
     began_at = time.time()  # the purge is taken later, so what was made before is older than it
-    await programs.ask("purge", "send", "--ledger", ledger_at, "--object", OBJECT, "--wait", "20s")
+    await programs.ask("purge", "send", "--ledger", ledger_at, "--tag", "rose", "--wait", "20s")
     await asyncio.sleep(GRACE + 0.2)
-    answer = await front.get("/rpc/pages", HTTP_X_SUBJECT=OBJECT)
-    is_old = answer.status == 200 and made_at(answer) < began_at
-    if is_old:
-        record.say("check", f"the copy was made {began_at - made_at(answer):.3f} s before the purge")
-    record.say("check", f"the answer is older than the purge of its object: {is_old}")
-    return not is_old
+    old = []
+    for path in paths:
+        answer = await front.get(path)
+        if answer.status == 200 and made_at(answer) < began_at:
+            old.append(path)
+            age = began_at - made_at(answer)
+            record.say("check", f"{path}: the copy was made {age:.3f} s before the purge of its tag")
+    record.say("check", f"older than the purge: {', '.join(old) or 'none'}")
+    return not old
 
 
 if __name__ == "__main__":
