Tags of a response in several lines of one header field all count for purges

The response named its tags in two lines of one field.

Cause: cache_responses.header_fields made a dictionary of the fields, in which the last line of a name replaced those before it, so the router knew the last tag only. RFC 9110, 5.2 and 5.3: the lines are one list. The same cause stood in the courier's reading of X-Purged-To, and X-Minted, X-Age-Ms and X-Report were read by their last line.

Change: HeaderFields keeps every line. Lines of a list are combined with the field's separator; two lines that differ where a field has one value are no value, so the copy isn't named, its age is unknown, or the courier takes the answer for none.

On the old code, in a scratch copy, the new tests failed: the three cases of test_a_purge_by_any_tag_holds_if_tags_stand_in_several_lines, the test of two times and that of two sequence numbers. 186 tests of purges, codecs and golden files pass.

--- a/quartzrouter/purge_log/cache_connection.py
+++ b/quartzrouter/purge_log/cache_connection.py
@@ -10,9 +10,10 @@
 from quartzrouter.purge_log.line_connection import connect, describe_error
 from quartzrouter.purges.delivery_plan import DELIVERY_TIMEOUT
 from quartzrouter.server.attempt_failure import CONNECTION_ERRORS
+from quartzrouter.server.header_fields import HeaderFields
 
-PURGED_UP_TO = b"x-purged-to"  # response header: the number up to which the cache has purged without a gap
-HIGHEST_LEASE_SEEN = b"x-purge-lease-seen"  # header of a 409 response: a later lease's fencing token
+PURGED_UP_TO = "x-purged-to"  # response header: the number up to which the cache has purged without a gap
+HIGHEST_LEASE_SEEN = "x-purge-lease-seen"  # header of a 409 response: a later lease's fencing token
 OK = 200
 CONFLICT = 409
 MAX_READ_BYTES = 1 << 14  # per call of receive()
@@ -107,9 +108,9 @@
             if event is h11.NEED_DATA:
                 self.http.receive_data(await _receive(stream))
             elif isinstance(event, h11.Response):
-                headers = dict(event.headers)
-                purged_up_to = int(headers.get(PURGED_UP_TO, b"0"))
-                highest_lease_seen = int(headers.get(HIGHEST_LEASE_SEEN, b"0"))
+                fields = HeaderFields(event.headers)  # int() rejects lines that contradict each other
+                purged_up_to = int(fields.get(PURGED_UP_TO) or 0)
+                highest_lease_seen = int(fields.get(HIGHEST_LEASE_SEEN) or 0)
                 response = _Response(event.status_code, purged_up_to, highest_lease_seen)
             elif isinstance(event, h11.ConnectionClosed):
                 raise ValueError("the cache closed the connection without a complete response")
--- a/quartzrouter/server/cache_responses.py
+++ b/quartzrouter/server/cache_responses.py
@@ -12,6 +12,7 @@
 from quartzrouter.routing.model import FillStatus, LoadReport
 from quartzrouter.server.errors import ServerError
 from quartzrouter.server.events import ResponseHead
+from quartzrouter.server.header_fields import HeaderFields
 
 MAX_BODY_SIZE = 240_000  # bytes: no chunk of an object is longer
 MAX_NUMBER = 1e9  # numbers in header fields must be less; others are ignored
@@ -32,7 +33,6 @@
     "root_failed": FillStatus.ORIGIN_UNREACHABLE,
 }
 
-HeaderFields = dict[str, str]  # by name, in lower case
 CopyReader = Callable[[HeaderFields], Any]
 
 
@@ -49,8 +49,8 @@
 
 
 def header_fields(response: h11.Response) -> HeaderFields:
-    """Returns the header fields of a response by name, in lower case."""
-    return {name.decode("latin-1"): value.decode("latin-1") for name, value in response.headers}
+    """Returns the header fields of a response."""
+    return HeaderFields(response.headers)
 
 
 def copy_identity(fields: HeaderFields) -> CopyIdentity | None:
@@ -88,12 +88,12 @@
         status.
     """
     length = fields.get("content-length")
-    is_chunked = "chunked" in fields.get("transfer-encoding", "")
+    is_chunked = "chunked" in (fields.get("transfer-encoding") or "")
     if status == 200 and length is None and not is_chunked:
         raise MalformedResponseError("a response without a length")
     if length is not None and int(length) > MAX_BODY_SIZE:
         raise MalformedResponseError(f"a body of {length} bytes")
-    names_copy = bool(fields.get("x-tag")) and fields.get("x-minted", "").isdecimal()
+    names_copy = bool(fields.get("x-tag")) and (fields.get("x-minted") or "").isdecimal()
     return ResponseHead(
         request_id,
         attempt_number,
@@ -126,7 +126,8 @@
     Invalid values are ignored, because all of these values are optional.
     """
     load = {}
-    for pair in fields.get("x-report", "")[:MAX_LOAD_REPORT_LENGTH].split(";"):
+    report = fields.get("x-report", separator=";") or ""
+    for pair in report[:MAX_LOAD_REPORT_LENGTH].split(";"):
         name, _, value = pair.partition(":")
         load[name.strip()] = parse_number(value)
     first_byte_ms = parse_number(fields.get("x-ttfb"))
--- a/quartzrouter/standalone/purge_membership.py
+++ b/quartzrouter/standalone/purge_membership.py
@@ -12,6 +12,7 @@
 from quartzrouter.purges.fleet_purges import AppliedPurge, CachedCopy, FleetPurges
 from quartzrouter.purges.replica import PurgeReplica
 from quartzrouter.purges.surrogate_tags import parse_tags
+from quartzrouter.server.header_fields import HeaderFields
 
 AGE = re.compile(r"-?\d{1,12}")  # value of X-Age-Ms
 MICROSECONDS_PER_MILLISECOND = 1_000
@@ -67,15 +68,16 @@
     return Membership(fleet_purges, replica)
 
 
-def copy_from_headers(headers: dict[str, str]) -> CachedCopy:
+def copy_from_headers(fields: HeaderFields) -> CachedCopy:
     """Returns the copy's age and tags from a response.
 
-    :param headers: by name in lower case; has to contain ``x-minted``.
+    :param fields: the response's header fields; ``x-minted`` has to be a decimal number.
     """
-    age_ms = headers.get("x-age-ms", "")
+    age_ms = fields.get("x-age-ms") or ""
     age = int(age_ms) * MICROSECONDS_PER_MILLISECOND + AGE_ROUNDING if AGE.fullmatch(age_ms) else None
-    tags = parse_tags(headers.get("cache-tag"), headers.get("surrogate-key"), headers.get("cache-groups"))
-    return CachedCopy(int(headers["x-minted"]) * MICROSECONDS_PER_MILLISECOND, age, tags)
+    surrogate_key = fields.get("surrogate-key", separator=" ")
+    tags = parse_tags(fields.get("cache-tag"), surrogate_key, fields.get("cache-groups"))
+    return CachedCopy(int(fields.get("x-minted") or "") * MICROSECONDS_PER_MILLISECOND, age, tags)
 
 
 def stored_purges(fleet_purges: FleetPurges, applied_up_to: int) -> StoredPurges:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -10,6 +10,7 @@
 from quartzrouter.configuration_section import ConfigurationError, ConfigurationSection
 from quartzrouter.deployment_settings import DeploymentSettings
 from quartzrouter.server import cache_responses, discovery_protocol, fastcgi, request_reader, responses
+from quartzrouter.server.header_fields import HeaderFields
 from quartzrouter.server.ring_buffer import RingBuffer
 
 
@@ -135,6 +136,23 @@
         trace.append(f"{status} {fields}: {result}")
 
 
+# Guards against a response with two lines of one field of which the router reads the last one only.
+def test_lines_of_one_header_field_are_combined():
+    fields = HeaderFields(
+        [(b"X-Tag", b"4be0"), (b"Cache-Tag", b"rose"), (b"x-tag", b"4be0"), (b"cache-tag", b"care")]
+    )
+    assert fields.get("cache-tag") == "rose, care" and fields.get("cache-tag", " ") == "rose care"
+    assert fields.get("x-tag") == "4be0" and fields.get("x-minted") is None
+
+
+# Guards against a copy that is dated by the later of two times in its response.
+def test_a_copy_with_two_times_is_not_named():
+    lines = [("Content-Length", "5"), ("X-Tag", "4be0"), ("X-Minted", "1764576000123"), ("X-Minted", "9")]
+    response = h11.Response(status_code=200, headers=lines)
+    head = cache_responses.parse_head(1, 0, 200, cache_responses.header_fields(response))
+    assert not head.has_copy_headers
+
+
 LINE = bytes.fromhex("00c41f7a 7f080103 20fb 01 01 00 0002 00002904 0000019ab3c4d5e6".replace(" ", ""))
 
 
--- a/tests/test_purge_delivery.py
+++ b/tests/test_purge_delivery.py
@@ -3,9 +3,13 @@
 import random
 
 import anyio
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from quartzrouter.configuration_section import parse_address
+from quartzrouter.fakes.loopback import request_heads, start_server
+from quartzrouter.purge_log.cache_connection import CacheConnection, DeliveryError
 from quartzrouter.purge_log.delivery import DeliveryWorker
 from quartzrouter.purges.delivery_plan import (
     MAX_BACKOFF,
@@ -309,3 +313,24 @@
     report(now)
     deliver(queue, now + 10 * SECOND, now + 50 * SECOND, step=20_000)
     assert queue.purged_up_to == head
+
+
+# Guards against a cache that counts as having purged more than one of its own header lines says.
+def test_a_response_with_two_sequence_numbers_confirms_nothing():
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Purged-To: 4\r\nX-Purged-To: 9\r\n\r\n"
+
+    async def serve(stream):
+        async with stream:
+            async for _ in request_heads(stream):
+                await stream.send(response)
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            host, port = parse_address(await start_server(tasks, serve), "cache")
+            connection = CacheConnection((host, port))
+            with pytest.raises(DeliveryError):
+                await connection.request("GET", "/purged", ())
+            await connection.close()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
--- a/tests/test_standalone_purges.py
+++ b/tests/test_standalone_purges.py
@@ -1,6 +1,7 @@
 """Tests of a standalone router as a member of a purge log, over loopback: it must not serve stale copies."""
 
 import random
+import re
 from dataclasses import replace
 
 import anyio
@@ -228,6 +229,42 @@
     run_with_deployment(body)
 
 
+# Guards against a purged copy that is served because its tag stands in another line than the response's last.
+@pytest.mark.parametrize(
+    "lines",
+    [
+        "Cache-Tag: rose\r\nCache-Tag: care-sheet",
+        "Surrogate-Key: rose leaf\r\nSurrogate-Key: care-sheet",
+        'Cache-Groups: "rose"\r\nCache-Groups: "care-sheet"',
+    ],
+)
+def test_a_purge_by_any_tag_holds_if_tags_stand_in_several_lines(run_with_deployment, monkeypatch, lines):
+    monkeypatch.setattr(
+        PurgeableCache,
+        "respond",
+        _with_tag_lines(PurgeableCache.respond, lines),
+    )
+
+    async def body(deployment):
+        await deployment.start()
+        await deployment.get_under_lease()
+        accepted = await deployment.purge("tag", "rose")
+        await anyio.sleep(0.3)
+        assert await deployment.get() >= accepted.purged_at
+
+    run_with_deployment(body)
+
+
+def _with_tag_lines(respond, lines):
+    """Returns a method that responds as a cache which writes its tags in these lines."""
+
+    async def respond_with_lines(cache, *arguments):
+        response = await respond(cache, *arguments)
+        return re.sub(rb"Cache-Tag: [^\r]*", lines.encode(), response) if cache.name == "n1" else response
+
+    return respond_with_lines
+
+
 def test_a_fill_overtaken_by_a_purge_is_repeated_and_not_kept(run_with_deployment):
     """A purge arrives while the origin makes the copy, and the grace ends before the origin responds."""
 
