The caches of one router's health reports are bounded under ever new names

Cause: next_report adds to the decayed outcomes of earlier reports, of which only negligible ones are forgotten. A report is limited to 1,024 caches, their sum was not: 40,960 after 40 reports, and each verdict goes through all of them in one step of the loop.

Change: the 2,048 caches that a router reported last are kept.

Measured: test_the_caches_that_one_router_reports_under_new_names_are_bounded found 40,960 on the old code.

--- a/quartzrouter/fleet_health/reports.py
+++ b/quartzrouter/fleet_health/reports.py
@@ -29,6 +29,8 @@
 CUT_OFF_SHARE = 0.5
 # Caches in one report.
 MAX_OBSERVATIONS = 1_024
+# Caches of one router whose outcomes are kept; beyond, those that it reported longest ago are forgotten.
+MAX_OUTCOMES = 2 * MAX_OBSERVATIONS
 # Routers with a report, to bound memory; the one that has been silent for longest is evicted.
 MAX_ROUTERS = 4_096
 # Value of one number in a report; a larger value is invalid.
@@ -130,13 +132,15 @@
             outcomes[cache] = earlier.decayed(factor)
     observations_by_cache = {}
     for observation in observations:
-        earlier = outcomes.get(observation.cache, RecentOutcomes())
+        earlier = outcomes.pop(observation.cache, RecentOutcomes())
         outcomes[observation.cache] = RecentOutcomes(
             observation.ejected,
             earlier.succeeded + observation.succeeded,
             earlier.failed + observation.failed,
         )
         observations_by_cache[observation.cache] = observation
+    for cache in list(outcomes)[:-MAX_OUTCOMES]:
+        del outcomes[cache]
     interval = min(REPORT_TTL, since_previous)
     return RouterReport(store, process_token, now, observations_by_cache, interval, outcomes, known_caches)
 
--- a/tests/test_fleet_health.py
+++ b/tests/test_fleet_health.py
@@ -363,3 +363,17 @@
     )
     assert len(reached) == 6 and min(reached.values()) > 10, reached
     assert not (result.lost or result.faults)
+
+
+# Guards against verdicts that take ever longer while one router reports caches under ever new names.
+def test_the_caches_that_one_router_reports_under_new_names_are_bounded():
+    aggregator = HealthAggregator()
+    for number in range(40):
+        observations = tuple(
+            CacheObservation(f"n{number}-{index}", False, succeeded=0, failed=1, in_flight=0, started=1)
+            for index in range(reports.MAX_OBSERVATIONS)
+        )
+        assert aggregator.record_report("r", "t", STORE, observations, 100 * SECOND + number, len(CACHES))
+    outcomes = aggregator.reports["r"].outcomes
+    assert len(outcomes) == reports.MAX_OUTCOMES
+    assert all(name.partition("-")[0] in ("n38", "n39") for name in outcomes)  # the latest
