A purge log answers no queries ahead for a client that reads nothing

Change: a query is answered once all earlier replies are written. Purges, whose clients send them in pages, are answered ahead as before.

--- a/quartzrouter/purge_log/requests.py
+++ b/quartzrouter/purge_log/requests.py
@@ -110,39 +110,79 @@
     async def serve(self, stream: anyio.abc.ByteStream, lines: AsyncIterator[bytes]) -> MemberHello | None:
         """Replies to a client's messages in order, until it sends a hello message or its lines end.
 
+        A query is answered once all earlier replies are written.  Its reply may have a line for each member,
+        so replies that wait for a client that reads nothing would otherwise take up much memory.
+
         :returns: the hello message; None if the lines ended.
         """
-        queue, replies = anyio.create_memory_object_stream[Reply](MAX_QUEUED_REPLIES)
-        async with anyio.create_task_group() as tasks, queue:
-            tasks.start_soon(_write_replies, stream, replies)
+        writer = ReplyWriter(stream)
+        async with anyio.create_task_group() as tasks, writer:
+            tasks.start_soon(writer.run)
             try:
                 async for line in lines:
                     message = messages.decode_to_purge_log(line)
                     if isinstance(message, MemberHello):
                         return message
-                    await queue.send(self.handle(message))
+                    if not isinstance(message, PurgeRequest):
+                        await writer.wait_until_written()
+                    await writer.put(self.handle(message))
             except messages.MalformedMessageError as error:
                 remedy = "write one JSON object a line, see docs/purges.md"
-                await queue.send(RequestRejected("line", str(error), remedy))
+                await writer.put(RequestRejected("line", str(error), remedy))
         return None
 
 
-async def _write_replies(stream: anyio.abc.ByteStream, replies) -> None:
-    """Writes replies in order, many in one write unless the next one is still pending."""
-    data = b""
-    async for reply in replies:
-        is_pending = isinstance(reply, PendingReply)
-        if data and is_pending and not reply.resolved.is_set():
-            await _send(stream, data)
-            data = b""
-        known_reply = await reply.wait() if is_pending else reply
-        data += messages.encode_line(known_reply)
-        has_more = replies.statistics().current_buffer_used
-        if not has_more or len(data) >= messages.MAX_LINE_BYTES:
-            await _send(stream, data)
-            data = b""
-
-
-async def _send(stream: anyio.abc.ByteStream, data: bytes) -> None:
-    with anyio.fail_after(WRITE_TIMEOUT_SECONDS):
-        await stream.send(data)
+class ReplyWriter:
+    """Writes the replies to one client in order; as a context manager, accepts no more on exit."""
+
+    def __init__(self, stream: anyio.abc.ByteStream):
+        self._stream = stream
+        self._queue, self._replies = anyio.create_memory_object_stream[Reply](MAX_QUEUED_REPLIES)
+        self._unwritten = 0  # replies that were put and are not written yet
+        self._encoded = bytearray()  # replies that are written next
+        self._encoded_count = 0  # number of those replies
+        self._changed = anyio.Event()  # set when replies were written
+
+    async def __aenter__(self) -> "ReplyWriter":
+        """Returns the writer."""
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Lets ``run`` end once all replies are written."""
+        await self._queue.aclose()
+
+    async def put(self, reply: Reply) -> None:
+        """Adds a reply; waits while too many are unwritten."""
+        self._unwritten += 1
+        await self._queue.send(reply)
+
+    async def wait_until_written(self) -> None:
+        """Waits until every reply is written."""
+        while self._unwritten:
+            await self._changed.wait()
+
+    async def run(self) -> None:
+        """Writes replies, many in one write unless the next one is still pending."""
+        async for reply in self._replies:
+            is_pending = isinstance(reply, PendingReply)
+            if is_pending and not reply.resolved.is_set():
+                await self._write()
+            known_reply = await reply.wait() if is_pending else reply
+            self._encoded += messages.encode_line(known_reply)
+            self._encoded_count += 1
+            has_more = self._replies.statistics().current_buffer_used
+            if not has_more or len(self._encoded) >= messages.MAX_LINE_BYTES:
+                await self._write()
+
+    async def _write(self) -> None:
+        """Writes the replies that are encoded."""
+        if not self._encoded:
+            return
+        data = bytes(self._encoded)
+        self._encoded.clear()
+        with anyio.fail_after(WRITE_TIMEOUT_SECONDS):
+            await self._stream.send(data)
+        self._unwritten -= self._encoded_count
+        self._encoded_count = 0
+        self._changed.set()
+        self._changed = anyio.Event()
--- a/tests/test_purge_log_server.py
+++ b/tests/test_purge_log_server.py
@@ -292,6 +292,36 @@
     run_in_task_group(body)
 
 
+# Guards against replies that pile up for a client that asks for all members and reads nothing.
+def test_queries_of_a_client_that_reads_nothing_are_not_answered_ahead(monkeypatch):
+    async def body(tasks):
+        running = await RunningPurgeLog(tasks).start(FaultyDisk())
+        for number in range(3_000):
+            running.server.registry.join(
+                MemberHello(f"m{number}", "router", "t"), process_module.wall_clock()
+            )
+        replies = 0
+        members_reply = running.server.registry.members_reply
+
+        def count_reply(now):
+            nonlocal replies
+            replies += 1
+            return members_reply(now)
+
+        monkeypatch.setattr(running.server.registry, "members_reply", count_reply)
+        client = running.client()
+        await client.connect()
+        await client.stream.send(encode_line(MembersQuery()) * 700)
+        await anyio.sleep(1.0)
+        unread = replies
+        assert unread < 100  # as many as the kernel's buffers take, and one
+        for _ in range(700):
+            await client.receive()
+        assert replies == 700
+
+    run_in_task_group(body)
+
+
 def test_connections_that_are_reset_at_once_do_not_affect_other_clients(tmp_path):
     """Three hundred clients reset their connections right away, half of them after they sent a purge."""
 
