A sender that never pauses fills no memory of purge logs and acceptors, and delays nobody

Callers saw: one client with small lines at full speed made a purge log grow by 1,037 MiB in 3 s and its other clients wait up to 0.34 s; 300 clients that stopped within a line made purge log and acceptor grow by 160 MiB.

Cause: anyio's asyncio streams pause reading only after a receive that had to wait; from a sender that never pauses something is always there, so everything it sends is read into memory. Further, all lines of a read were handled without a pause, and half lines were kept without a common limit or a time limit.

Change: connections of purge logs, acceptors, couriers, members and commands are sockets that are read when asked (server/byte_stream.py); a connection with more than 1 ms of work waits for its next turn (server/turns.py); unfinished lines have 16 MiB together and 5 s each.

--- a/quartzrouter/lease_service/client.py
+++ b/quartzrouter/lease_service/client.py
@@ -17,11 +17,18 @@
 from quartzrouter.leases import messages
 from quartzrouter.leases.proposer import Effect, LeaseAcquired, LeaseLost, Proposer, SendToAcceptors
 from quartzrouter.leases.terms import MAX_NAME_LENGTH, LeaseTerms, VoteRelease, VoteRequest
-from quartzrouter.purge_log.line_connection import LineQueue, connect, describe_error, first_error, read_lines
+from quartzrouter.purge_log.line_connection import (
+    LineQueue,
+    connect,
+    describe_error,
+    first_error,
+    read_lines,
+)
 from quartzrouter.purges.messages import encode_line
 from quartzrouter.purges.reconnect_backoff import ReconnectBackoff
 from quartzrouter.server.clock import steady_clock, wall_clock
 from quartzrouter.server.rate_limited_log import RateLimitedLog
+from quartzrouter.server.turns import TurnQueue
 
 MICROSECONDS_PER_SECOND = 1e6
 MICROSECONDS_PER_MILLISECOND = 1_000
@@ -72,7 +79,7 @@
             tasks.start_soon(self.outgoing.write_to, stream)
             tasks.start_soon(self._watch_silence)
             self._client.connected()
-            async for line in read_lines(stream):
+            async for line in read_lines(stream, self._client.turns):
                 self._unanswered_requests = 0
                 self._backoff.record_success()
                 self._client.handle(self.name, messages.decode_from_acceptor(line))
@@ -138,6 +145,7 @@
         self.name = name[:MAX_NAME_LENGTH]
         self.report = report
         self.steady = steady
+        self.turns = TurnQueue()  # of the connections to all acceptors
         self.process_token = secrets.token_hex(TOKEN_BYTES)
         self.proposers: dict[str, Proposer] = {}  # by task
         self._wall = wall
--- a/quartzrouter/lease_service/server.py
+++ b/quartzrouter/lease_service/server.py
@@ -12,8 +12,9 @@
 from quartzrouter.leases import messages
 from quartzrouter.leases.acceptor import Acceptor
 from quartzrouter.leases.terms import AcceptorStatus, LeaseTerms, VoteRefusal
-from quartzrouter.purge_log.line_connection import CONNECTION_ENDED, ConnectionGuard, read_lines
+from quartzrouter.purge_log.line_connection import CONNECTION_ENDED, ConnectionGuard, LineReader
 from quartzrouter.purges.messages import MalformedMessageError, encode_line
+from quartzrouter.server.byte_stream import serve_listener
 from quartzrouter.server.clock import steady_clock
 from quartzrouter.server.rate_limited_log import RateLimitedLog
 
@@ -56,7 +57,7 @@
         """Serves one connection until it ends."""
         await self._guard.serve(stream, self._serve)
 
-    async def _serve(self, stream: anyio.abc.ByteStream) -> None:
+    async def _serve(self, stream: anyio.abc.ByteStream, lines: LineReader) -> None:
         queue, replies = anyio.create_memory_object_stream[messages.FromAcceptor](MAX_QUEUED_REPLIES)
 
         async def write_replies() -> None:
@@ -68,7 +69,7 @@
         async with anyio.create_task_group() as tasks, queue:
             tasks.start_soon(write_replies)
             try:
-                async for line in read_lines(stream):
+                async for line in lines:
                     reply = await self._handle(messages.decode_to_acceptor(line), queue, proposers)
                     if reply is not None:
                         queue.send_nowait(reply)
@@ -223,7 +224,7 @@
         time_until_voting = (server.acceptor.voting_starts_at - steady()) / MICROSECONDS_PER_SECOND
         report.say("process", f"keeper {name} at {host}:{port}, votes in {time_until_voting:.1f} s")
         for listener in listeners.listeners:
-            tasks.start_soon(listener.serve, server.serve)
+            tasks.start_soon(serve_listener, listener, server.serve, report)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
             async for number in received:
                 if number == signal.SIGHUP:
--- a/quartzrouter/purge_log/line_connection.py
+++ b/quartzrouter/purge_log/line_connection.py
@@ -4,49 +4,138 @@
 servers and clients have in common; it doesn't parse the lines.
 """
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable
 
 import anyio
 
 from quartzrouter.purges.messages import MAX_LINE_BYTES, MalformedMessageError
 from quartzrouter.server.attempt_failure import CONNECTION_ERRORS
+from quartzrouter.server.byte_stream import connect_stream
 from quartzrouter.server.rate_limited_log import RateLimitedLog
+from quartzrouter.server.turns import Turn, TurnQueue
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-MAX_READ_BYTES = 1 << 16  # per call of receive()
+MAX_READ_BYTES = 1 << 15  # per call of receive()
 CONNECTION_ENDED = (*CONNECTION_ERRORS, TimeoutError)  # errors that are no fault of this process
+# Bytes that are held for all connections together of lines that take more than one read.
+MAX_UNFINISHED_BYTES = 1 << 24
+UNFINISHED_LINE_TIMEOUT = 5.0  # seconds from the first byte of a line to its last
+RESERVE_RETRY_DELAY = 0.02  # seconds between attempts to reserve some of those bytes
 
 
-async def read_lines(stream: anyio.abc.ByteStream) -> AsyncIterator[bytes]:
-    """Yields each line without its newline, until the stream ends.
+class UnfinishedLines:
+    """The memory that the unfinished lines of all connections of one server may take."""
 
-    :raises MalformedMessageError: if a line is too long; this bounds the memory that a sender can occupy.
+    def __init__(self) -> None:
+        self.free_bytes = MAX_UNFINISHED_BYTES
+
+
+class LineReader:
+    """Reads the lines of one connection, without their newlines; an asynchronous iterator.
+
+    :param turns: the turns of all connections of the process; None if there are no others to delay.
+    :param memory: that of the server's unfinished lines; None for a connection to a server.
     """
-    unfinished = bytearray()
-    while True:
-        try:
-            unfinished += await stream.receive(MAX_READ_BYTES)
-        except anyio.EndOfStream:
-            return
-        *finished, rest = unfinished.split(b"\n")
-        for line in finished:
-            yield bytes(line)
-        unfinished = bytearray(rest)
-        if len(unfinished) > MAX_LINE_BYTES:
+
+    def __init__(
+        self,
+        stream: anyio.abc.ByteStream,
+        turns: TurnQueue | None = None,
+        memory: UnfinishedLines | None = None,
+    ):
+        self._stream = stream
+        self._turns = turns
+        self._memory = memory
+        self._unfinished = bytearray()
+        self._unfinished_since = 0.0  # s of the monotonic clock
+        self._reserved_bytes = 0  # of the server's memory
+        self._lines: deque[bytes] = deque()
+        self._turn = Turn()
+
+    def __aiter__(self) -> "LineReader":
+        """Returns the reader itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next line.
+
+        :raises MalformedMessageError: if a line is too long; this bounds the memory that a sender can occupy.
+        :raises TimeoutError: if the rest of a line takes too long.
+        """
+        if self._lines and self._turns and self._turn.is_over:
+            self._turn = await self._turns.wait()
+        while not self._lines:
+            try:
+                data = await self._receive()
+            except anyio.EndOfStream:
+                raise StopAsyncIteration from None
+            self._turn = Turn()
+            self._split(data)
+        return self._lines.popleft()
+
+    async def _receive(self) -> bytes:
+        """Waits for data; at a server the rest of a line has to come in time, and fit into its memory.
+
+        A connection for whose line there is no room is not read for a while, rather than closed: hostile
+        clients would open another at once, which costs more.
+        """
+        if not (self._memory and self._unfinished):
+            return await self._stream.receive(MAX_READ_BYTES)
+        with anyio.fail_after(self._unfinished_since + UNFINISHED_LINE_TIMEOUT - time.monotonic()):
+            while not self._reserve(len(self._unfinished) + MAX_READ_BYTES):
+                await anyio.sleep(RESERVE_RETRY_DELAY)
+            return await self._stream.receive(MAX_READ_BYTES)
+
+    def _split(self, data: bytes) -> None:
+        """Adds the lines that the data completes, and keeps the rest."""
+        if not self._unfinished:
+            self._unfinished_since = time.monotonic()
+        self._unfinished += data
+        *finished, rest = self._unfinished.split(b"\n")
+        if finished:
+            self._lines.extend(map(bytes, finished))
+            self._unfinished = rest
+            self._unfinished_since = time.monotonic()
+            self._reserve(0)
+        if len(self._unfinished) > MAX_LINE_BYTES:
             raise MalformedMessageError(f"a line is longer than {MAX_LINE_BYTES} bytes")
 
+    def _reserve(self, count: int) -> bool:
+        """Changes how much memory this connection takes; returns False if there is not enough."""
+        if self._memory is None:
+            return True
+        missing = count - self._reserved_bytes
+        if missing > self._memory.free_bytes:
+            return False
+        self._memory.free_bytes -= missing
+        self._reserved_bytes = count
+        return True
+
+    def close(self) -> None:
+        """Gives up the unfinished line, which then counts no more."""
+        self._unfinished.clear()
+        self._reserve(0)
+
 
-async def connect(address: tuple[str, int]) -> anyio.abc.SocketStream:
+def read_lines(stream: anyio.abc.ByteStream, turns: TurnQueue | None = None) -> LineReader:
+    """Returns a reader of the lines that a server sends on a connection.
+
+    :param turns: the turns of all connections of the process; None if there are no others to delay.
+    """
+    return LineReader(stream, turns)
+
+
+async def connect(address: tuple[str, int]) -> anyio.abc.ByteStream:
     """Opens a connection.
 
+    :param address: an IP address and a port.
     :raises OSError: if it is refused.
     :raises TimeoutError: if nothing answers.
     """
-    try:
-        with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
-            return await anyio.connect_tcp(*address)
-    except AttributeError:  # raised by the loop's stream if the peer has reset it already
-        raise ConnectionResetError("the peer reset the connection right after it was opened") from None
+    with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+        return await connect_stream(address)
 
 
 def first_error(group: BaseExceptionGroup) -> BaseException:
@@ -111,7 +200,7 @@
 
 
 class ConnectionGuard:
-    """Limits the number of a server's connections, and confines an error to the connection it occurred on.
+    """Limits what a server's connections take, and confines an error to the connection it occurred on.
 
     :param max_connections: the number of connections at a time; any further one is closed immediately.
     :param ended_by: the errors that end a connection without a log line.
@@ -127,24 +216,31 @@
         self.report = report
         self.ended_by = ended_by
         self.count = 0
+        self._turns = TurnQueue()
+        self._memory = UnfinishedLines()
 
     async def serve(
         self,
         stream: anyio.abc.ByteStream,
-        handle: Callable[[anyio.abc.ByteStream], Awaitable[None]],
+        handle: Callable[[anyio.abc.ByteStream, LineReader], Awaitable[None]],
     ) -> None:
-        """Serves one connection and closes it."""
+        """Serves one connection and closes it.
+
+        :param handle: handles the lines of the connection until they end.
+        """
         if self.count >= self.max_connections:
             await anyio.aclose_forcefully(stream)
             return
         self.count += 1
+        lines = LineReader(stream, self._turns, self._memory)
         try:
             async with stream:
-                await handle(stream)
+                await handle(stream, lines)
         except* self.ended_by:
             pass
         except* Exception as group:  # a fault of this process ends only the connection
             errors = (f"{type(error).__name__}: {error}" for error in group.exceptions)
             self.report.say("fault", "; ".join(errors))
         finally:
+            lines.close()
             self.count -= 1
--- a/quartzrouter/purge_log/member_client.py
+++ b/quartzrouter/purge_log/member_client.py
@@ -5,10 +5,17 @@
 
 import anyio
 
-from quartzrouter.purge_log.line_connection import LineQueue, connect, describe_error, first_error, read_lines
+from quartzrouter.purge_log.line_connection import (
+    LineQueue,
+    connect,
+    describe_error,
+    first_error,
+    read_lines,
+)
 from quartzrouter.purges import messages
 from quartzrouter.purges.reconnect_backoff import ReconnectBackoff
 from quartzrouter.server.rate_limited_log import RateLimitedLog
+from quartzrouter.server.turns import TurnQueue
 
 MICROSECONDS_PER_SECOND = 1e6
 
@@ -59,6 +66,7 @@
         self.on_event = on_event
         self.report = report
         self.outgoing = LineQueue()
+        self._turns = TurnQueue()
         self.scope: anyio.CancelScope | None = None  # contains the current connection
 
     @property
@@ -99,7 +107,7 @@
         async with stream, anyio.create_task_group() as tasks:
             tasks.start_soon(self.outgoing.write_to, stream)
             self.on_event(ConnectionOpened())
-            lines = read_lines(stream)
+            lines = read_lines(stream, self._turns)
             while True:
                 with anyio.fail_after(self.silence_timeout / MICROSECONDS_PER_SECOND):
                     line = await anext(lines, None)
--- a/quartzrouter/purge_log/server.py
+++ b/quartzrouter/purge_log/server.py
@@ -13,7 +13,7 @@
 from quartzrouter.purge_log.errors import DiskUnavailableError, FencedError
 from quartzrouter.purge_log.health_service import HealthService
 from quartzrouter.purge_log.leadership import Leadership
-from quartzrouter.purge_log.line_connection import ConnectionGuard, read_lines
+from quartzrouter.purge_log.line_connection import ConnectionGuard, LineReader
 from quartzrouter.purge_log.log import PurgeLog
 from quartzrouter.purge_log.quota_service import WITHOUT_LEASE, QuotaService
 from quartzrouter.purge_log.requests import RequestHandler
@@ -22,6 +22,7 @@
 from quartzrouter.purges.registry import PurgeRegistry
 from quartzrouter.quota.budget import Budget
 from quartzrouter.quota.slow_start_messages import SlowStartTerms
+from quartzrouter.server.byte_stream import serve_listener
 from quartzrouter.server.clock import steady_clock, wall_clock
 from quartzrouter.server.rate_limited_log import RateLimitedLog
 
@@ -99,7 +100,7 @@
                 tasks.start_soon(self._update_completeness_at_intervals)
                 tasks.start_soon(self.health.run, self.sessions.by_name.values)
                 for listener in listeners:
-                    tasks.start_soon(listener.serve, self.serve)
+                    tasks.start_soon(serve_listener, listener, self.serve, self.report)
         self.log.close()
         return not self.is_fenced
 
@@ -107,8 +108,7 @@
         """Serves one connection: a client's, and a member's from its hello message on."""
         await self.connections.serve(stream, self._serve)
 
-    async def _serve(self, stream: anyio.abc.ByteStream) -> None:
-        lines = read_lines(stream)
+    async def _serve(self, stream: anyio.abc.ByteStream, lines: LineReader) -> None:
         hello = await self.requests.serve(stream, lines)
         if hello:
             await self.sessions.serve(stream, lines, hello)
