Hostile clients of a router delay no others, fill no memory, and leave nothing to be sent on

Callers saw: beside 300 clients with heads of 2,400 short fields a sound client got 20 answers in 6 s (some 265 without), the slowest after 6.2 s; under a plan memory came to 65 MiB of 64; of clients that closed with much unread, 144 of 160 requests were sent on.

Cause: the loop serves each connection with data once an iteration, whatever it costs (3 ms for such a head), and a request needs ten. The spin guard took reading for a spin and paused. Fixed parts of the memory limit add up to more than the program leaves. After eight reads complete requests were handed on with more unread, and the client's leaving behind it.

Change: turns of 1 ms for connections that have sent much or parts of requests; 512 fields a head, else 431; reads are progress; what is left of the memory is divided, and each request counts 1 KB more; requests are handed on once all is read, or rejected after 2 s. These share the read loop, so they come as one commit. The fake stream of a loopback test has the new method wait_readable.

Failed tries: one read a turn (lingering connections filled the limit), 20 KB a connection (slots for 256 only: sound clients turned away).

--- a/quartzrouter/purge_log/line_connection.py
+++ b/quartzrouter/purge_log/line_connection.py
@@ -65,7 +65,7 @@
         :raises TimeoutError: if the rest of a line takes too long.
         """
         if self._lines and self._turns and self._turn.is_over:
-            self._turn = await self._turns.wait()
+            self._turn = await self._turns.wait(self._turn.cost)
         while not self._lines:
             try:
                 data = await self._receive()
--- a/quartzrouter/server/attempt_failure.py
+++ b/quartzrouter/server/attempt_failure.py
@@ -32,6 +32,7 @@
     RESET = 2  # the connection ended
     MALFORMED = 3  # the response violates HTTP or the platform's protocol
     INTERNAL_ERROR = 4  # a bug in this program
+    CLIENT_UNREAD = 5  # unread data of the client may hide that it has gone
 
 
 class AttemptFailure(NamedTuple):
--- a/quartzrouter/server/attempt_task.py
+++ b/quartzrouter/server/attempt_task.py
@@ -4,7 +4,9 @@
 
 import anyio
 
-from quartzrouter.server.client_connection import ClientConnection
+from quartzrouter.server.attempt_failure import FailureCause
+from quartzrouter.server.client_connection import ClientConnection, UnreadDataError
+from quartzrouter.server.connection_pool import ConnectionUnavailableError
 from quartzrouter.server.effects import SendRequest
 
 
@@ -28,9 +30,16 @@
         self._has_request.set()
 
     async def read_pending(self) -> None:
-        """Waits until what the client has sent so far is read, for a few iterations of the loop at most."""
-        if self._client:
+        """Returns once what the client has sent so far is read.
+
+        :raises ConnectionUnavailableError: if that takes too long.
+        """
+        if not self._client:
+            return
+        try:
             await self._client.read_pending(self._request_id)
+        except UnreadDataError as error:
+            raise ConnectionUnavailableError(FailureCause.CLIENT_UNREAD, str(error)) from None
 
     async def request_to_send(self) -> SendRequest:
         """Returns the request; waits for ``set_request``, which has usually been called before."""
--- a/quartzrouter/server/cache_connection.py
+++ b/quartzrouter/server/cache_connection.py
@@ -12,7 +12,7 @@
 from quartzrouter.server.stream import Pending, Stream
 
 READ_BUFFER_SIZE = 1 << 15  # bytes; most responses fit in one or two reads
-WRITE_BUFFER_SIZE = 1 << 14  # bytes that are being written to the socket
+WRITE_BUFFER_SIZE = 1 << 14  # bytes that are written to the socket at once, so that no body is copied whole
 # Bytes in the socket's own receive buffer. All of them are read at once, so the size limits the memory that a
 # fast sender can fill.
 SOCKET_RECEIVE_BUFFER = 1 << 16
@@ -46,7 +46,6 @@
         self.last_exchange: LastExchange | None = None
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
         self._incoming = RingBuffer(READ_BUFFER_SIZE)
-        self._outgoing = RingBuffer(WRITE_BUFFER_SIZE)
         stream.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_RECEIVE_BUFFER)
 
     async def send_request(self, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
@@ -61,12 +60,11 @@
         lines += [f"{name}: {value}" for name, value in headers]
         if body:
             lines.append(f"Content-Length: {len(body)}")
-        await self._send("\r\n".join([*lines, "\r\n"]).encode("latin-1") + body)
-
-    async def _send(self, data: bytes) -> None:
-        for start in range(0, len(data), WRITE_BUFFER_SIZE):
-            self._outgoing.put(data[start : start + WRITE_BUFFER_SIZE])
-            await self.stream.send(self._outgoing.take(WRITE_BUFFER_SIZE))
+        head = "\r\n".join([*lines, "\r\n"]).encode("latin-1")
+        first_part = WRITE_BUFFER_SIZE - len(head)  # of the body, sent in one piece with the head
+        await self.stream.send(head + body[: max(0, first_part)])
+        for start in range(max(0, first_part), len(body), WRITE_BUFFER_SIZE):
+            await self.stream.send(body[start : start + WRITE_BUFFER_SIZE])
 
     async def next_event(self) -> h11.Event:
         """Reads the next part of the response: an interim or final head, data, or its end.
--- a/quartzrouter/server/cache_connections.py
+++ b/quartzrouter/server/cache_connections.py
@@ -30,7 +30,10 @@
     """The client's side of an attempt: it supplies the request and takes the response."""
 
     async def read_pending(self) -> None:
-        """Returns once everything that the client has sent so far is read."""
+        """Returns once everything that the client has sent so far is read.
+
+        :raises ConnectionUnavailableError: if that takes too long.
+        """
 
     async def request_to_send(self) -> SendRequest:
         """Waits for the request, which is decided once the connection is ready."""
@@ -158,8 +161,8 @@
         not run twice could then not be retried. The connection is checked again after the client's bytes are
         read, and a pooled one that has been closed is replaced.
 
-        :raises ConnectionUnavailableError: if there is none, or a new one was closed or received data before
-            the request.
+        :raises ConnectionUnavailableError: if there is none, a new one was closed or received data before
+            the request, or the client's bytes are not read in time.
         """
         while True:
             self._connection = await self._pool.acquire(self._endpoint, self._address)
--- a/quartzrouter/server/client_connection.py
+++ b/quartzrouter/server/client_connection.py
@@ -16,6 +16,7 @@
 from quartzrouter.server.response_writer import NO_REQUEST, ResponseWriter
 from quartzrouter.server.ring_buffer import RingBuffer
 from quartzrouter.server.stream import Pending, Stream
+from quartzrouter.server.turns import Turn
 
 if TYPE_CHECKING:
     from quartzrouter.server.client_connections import ClientConnections
@@ -23,20 +24,27 @@
 READ_BUFFER_SIZE = 1 << 14  # bytes; longer records are read in pieces
 MAX_OPEN_REQUESTS = 32  # per connection; a request is open until its response has been sent
 MAX_REJECTED_REQUESTS = 32  # per connection, which is then closed
+SMALL_REQUEST_MEMORY = 1 << 12  # bytes of requests that each connection may hold in any case
 MAX_IGNORED_BYTES = 1 << 18  # bytes received after a response; beyond, no further request is accepted
 
 # Seconds between reads from a client that doesn't read its responses. All that a receive buffer holds is then
 # read within 0.1 s, including an abort or the end of the connection.
 BACKLOG_READ_INTERVAL = 0.02
-# Consecutive reads before complete requests are handed on. They read more than a receive buffer holds, and so
-# find an abort that follows the requests.
-MAX_CONSECUTIVE_READS = 8
-# Iterations of the event loop in which as many reads happen, two iterations for each.
-PENDING_READ_ITERATIONS = 2 * MAX_CONSECUTIVE_READS
+# Iterations of the event loop in which the data of a usual client is read; afterwards the wait is by time.
+PENDING_READ_ITERATIONS = 16
+PENDING_READ_INTERVAL = 0.002  # seconds between two looks whether the client's data is read
+MAX_PENDING_READ = 0.5  # seconds; an attempt for a client that has more unread data is not sent
+# Seconds without data after which a connection that has sent much is taken for a usual one again.
+QUIET_TIME = 0.05
+RECORDS_PER_CLOCK_READ = 16  # records that are handled between two looks at the turn's clock
 
 LAST_DATA_RECEIVED = slice(52, 56)  # tcpi_last_data_recv in struct tcp_info: ms since data last arrived
 
 
+class UnreadDataError(ServerError):
+    """A client has more unread data than can be read for now, which may hide that it has gone."""
+
+
 @dataclass(slots=True)
 class AwaitedResponse:
     """A request that was handed on, and whose response hasn't been queued yet."""
@@ -71,6 +79,10 @@
         self.has_begun_request = False  # True once a request has been handed on
         self.ignored_bytes = 0  # received after the response to their request, or after all responses
         self.closing = False  # no further request is accepted; the connection ends after the last response
+        self._turn = Turn()
+        self._is_turn_granted = False  # it had to wait for the turn, and may read on until the turn is over
+        self._turn_cost = 0.0  # seconds of CPU time of the last turn
+        self._has_much = False  # the last turn was used up, or a read filled the buffer
         self.responses_ended = False  # sending has ended; data that arrives now is dropped
         now = anyio.current_time()
         self.opened_at = now  # s of the loop's clock
@@ -82,50 +94,74 @@
         """Reads until the client has gone, and slowly while it doesn't read its responses.
 
         Guards against running requests whose client has gone: a request that is read late may be followed by
-        the end of its connection, a reset or an ABORT_REQUEST. So all data that has arrived is read, up to a
-        limit, before any complete request is handed on. Reading also never stops: when it stopped while the
-        client didn't read its responses, neither an abort nor the end of the connection was noticed.
+        the end of its connection, a reset or an ABORT_REQUEST. So complete requests are handed on only once
+        all data that has arrived is read; from a client that never pauses they are rejected instead, see
+        ``ClientConnections.sweep``. Reading also never stops: when it stopped while the client didn't read
+        its responses, neither an abort nor the end of the connection was noticed.
+
+        Guards against clients that delay others: a connection that has sent much, or only parts of requests,
+        is read when it is its turn.
 
         Raises the exceptions that ``attempt_failure.CONNECTION_ERRORS`` lists.
 
         :raises fastcgi.ProtocolError: if the client doesn't follow the FastCGI specification.
         """
-        consecutive_reads = 0
         while True:
             if self.writer.is_backlogged or self.ignored_bytes > MAX_IGNORED_BYTES:
                 await self.writer.wait_for_progress(BACKLOG_READ_INTERVAL)
+            await self._wait_for_data()
             data = await self.stream.receive(self._incoming_bytes.free)
+            self._connections.reads += 1
             if self.responses_ended:
                 self.ignored_bytes += len(data)
                 continue
-            self._handle_bytes(data)
+            await self._handle_bytes(data)
             complete = [id for id, incoming in self.incoming.items() if incoming.is_complete]
             pending = self.stream.pending() if complete else Pending.QUIET
             if pending is Pending.ENDED:
                 return
-            if pending is Pending.UNREAD and consecutive_reads < MAX_CONSECUTIVE_READS:
-                consecutive_reads += 1
-                continue
-            consecutive_reads = 0
-            queueing_time = self.time_since_last_byte if complete else 0
-            for fastcgi_id in complete:
-                self._begin_request(fastcgi_id, queueing_time)
+            if pending is Pending.QUIET:
+                queueing_time = self.time_since_last_byte if complete else 0
+                for fastcgi_id in complete:
+                    self._begin_request(fastcgi_id, queueing_time)
+
+    async def _wait_for_data(self) -> None:
+        """Waits until data has arrived, and for the connection's turn if it has sent much."""
+        goes_on = self._is_turn_granted and self._has_much and not self._turn.is_over
+        if goes_on and self.stream.pending() is Pending.UNREAD:
+            return
+        waits_since = anyio.current_time()
+        await self.stream.wait_readable()
+        if anyio.current_time() - waits_since > QUIET_TIME:
+            self._has_much = False
+        if self.responses_ended:  # reading and dropping takes no time to speak of
+            return
+        self._is_turn_granted = self._has_much or bool(self.incoming)
+        if self._is_turn_granted:
+            self._turn = await self._connections.turns.wait(self._turn_cost)
+        else:
+            self._turn = Turn()
 
     async def read_pending(self, request_id: int) -> None:
-        """Returns once all data that the client has sent is read, or after some iterations of the loop.
+        """Returns once all data that the client has sent is read.
 
         Guards against an attempt for a client that has gone, which a busy process may not have read yet.
 
         :param request_id: the request that the attempt is made for.
+        :raises UnreadDataError: if the client sends more than can be read for now.
         """
-        for _ in range(PENDING_READ_ITERATIONS):
+        deadline = anyio.current_time() + MAX_PENDING_READ
+        iterations = 0
+        while anyio.current_time() < deadline:
             pending = self.stream.pending()
             if pending is Pending.ENDED:
                 self.abandon_requests()
                 self.scope.cancel()
             if pending is not Pending.UNREAD or request_id not in self.awaited:
                 return
-            await anyio.sleep(0)
+            iterations += 1
+            await anyio.sleep(0 if iterations <= PENDING_READ_ITERATIONS else PENDING_READ_INTERVAL)
+        raise UnreadDataError("the client never pauses")
 
     @property
     def open_requests(self) -> int:
@@ -146,11 +182,19 @@
             return 0
         return int.from_bytes(tcp_info[LAST_DATA_RECEIVED], sys.byteorder) * 1000
 
-    def _handle_bytes(self, data: bytes) -> None:
+    async def _handle_bytes(self, data: bytes) -> None:
+        """Handles all records that the data completes, in as many turns as that takes."""
+        self._has_much = len(data) == self._incoming_bytes.free
         self._incoming_bytes.put(data)
         self.last_active_at = anyio.current_time()
+        records_handled = 0
         while (record := self._records.next()) is not None:
             self._handle_record(record)
+            records_handled += 1
+            if records_handled % RECORDS_PER_CLOCK_READ == 0 and self._turn.is_over:
+                self._has_much = True
+                self._turn = await self._connections.turns.wait(self._turn.cost)
+        self._turn_cost = self._turn.cost
 
     def _handle_record(self, record: fastcgi.Record) -> None:
         record_type, fastcgi_id, content = record
@@ -207,8 +251,9 @@
             refusal = fastcgi.encode_end_request(fastcgi_id, protocol_status=ProtocolStatus.OVERLOADED)
             self._count_rejection([] if self.writer.is_backlogged else [refusal])
         else:
-            keep_connection = bool(flags & fastcgi.FLAG_KEEP_CONNECTION)
-            self.incoming[fastcgi_id] = IncomingRequest(keep_connection, self.last_active_at)
+            incoming = IncomingRequest(bool(flags & fastcgi.FLAG_KEEP_CONNECTION), self.last_active_at)
+            self.incoming[fastcgi_id] = incoming
+            self._connections.free_request_memory -= incoming.size
 
     def _handle_abort(self, fastcgi_id: int) -> None:
         incoming = self.incoming.pop(fastcgi_id, None)
@@ -228,7 +273,7 @@
         size_before = incoming.size
         try:
             if content:
-                incoming.add(record_type, content, self._connections.free_request_memory)
+                incoming.add(record_type, content, self._free_request_memory)
             elif record_type == RecordType.PARAMS:
                 incoming.end_params(self._connections.parse_params)
             else:
@@ -241,6 +286,17 @@
         else:
             self._connections.free_request_memory -= incoming.size - size_before
 
+    @property
+    def _free_request_memory(self) -> int:
+        """Returns the bytes that the connection's requests may still take.
+
+        A connection that holds little may exceed the memory that all share, so that clients with small
+        requests are served while others fill it.
+        """
+        held = sum(incoming.size for incoming in self.incoming.values())
+        held += sum(awaited.size for awaited in self.awaited.values())
+        return max(self._connections.free_request_memory, SMALL_REQUEST_MEMORY - held)
+
     def _begin_request(self, fastcgi_id: int, queueing_time: int) -> None:
         """Hands on a complete request, which its client has not aborted.
 
@@ -265,6 +321,14 @@
         status = error.status if isinstance(error, InvalidRequestError) else 400
         self._reject(fastcgi_id, responses.invalid(status, str(error)))
 
+    def reject_overdue(self, fastcgi_id: int) -> None:
+        """Rejects an incoming request that is still incomplete, or whose client has never paused since."""
+        if self.incoming[fastcgi_id].is_complete:
+            self._connections.log.say("client", "a request is rejected with 503: its client never pauses")
+            self._reject(fastcgi_id, responses.overloaded(self._connections.retry_after))
+        else:
+            self.reject_invalid(fastcgi_id, InvalidRequestError("still not whole", 408))
+
     def _reject(self, fastcgi_id: int, response: bytes) -> None:
         incoming = self.incoming.pop(fastcgi_id)
         self._connections.free_request_memory += incoming.size
@@ -337,6 +401,16 @@
         self._connections.open.discard(self)
         return True
 
+    @property
+    def is_lingering(self) -> bool:
+        """Returns True if the connection is to be closed, and only its client's unread data delays that."""
+        return self.responses_ended or (self.closing and not self.awaited)
+
+    def close_lingering(self) -> None:
+        """Closes a connection that lingers, although its client goes on sending."""
+        self.scope.cancel()
+        self._connections.open.discard(self)
+
     def abandon_requests(self) -> None:
         """Drops all requests of a client that has gone, and releases their memory."""
         self._connections.free_request_memory += sum(incoming.size for incoming in self.incoming.values())
--- a/quartzrouter/server/client_connections.py
+++ b/quartzrouter/server/client_connections.py
@@ -10,8 +10,9 @@
 from quartzrouter.server.events import Event
 from quartzrouter.server.fastcgi import ProtocolError
 from quartzrouter.server.rate_limited_log import RateLimitedLog
-from quartzrouter.server.request_reader import InvalidRequestError, ParamsParser
+from quartzrouter.server.request_reader import ParamsParser
 from quartzrouter.server.stream import Pending, Stream
+from quartzrouter.server.turns import TurnQueue
 
 SWEEP_INTERVAL = 0.25  # s between checks for overdue requests and connections
 SEND_TIMEOUT = 10.0  # s; a client to which a write has been blocked for so long counts as gone
@@ -58,6 +59,8 @@
         self.retry_after = retry_after
         self.by_request_id: dict[int, ClientConnection] = {}  # of requests whose response is awaited
         self.open: set[ClientConnection] = set()
+        self.turns = TurnQueue()
+        self.reads = 0  # reads that brought data
         self.admitted = 0  # connections that were admitted and are not yet in ``open``
         self._last_request_id = 0
 
@@ -122,7 +125,7 @@
         tasks.cancel_scope.cancel()
 
     def _close_one_idle(self) -> bool:
-        """Closes one idle connection that has no unread data.
+        """Closes one idle connection that has no unread data, or one that lingers after its responses.
 
         Prefers a connection that its client has closed, then one that has never sent a request, then the one
         that has been inactive for longest. Guards against a lost request: a busy process hasn't read all data
@@ -130,6 +133,10 @@
 
         :returns: True if one was closed.
         """
+        lingering = [client for client in self.open if client.is_lingering]
+        if lingering:
+            min(lingering, key=lambda client: client.last_active_at).close_lingering()
+            return True
         grace_start = anyio.current_time() - FIRST_REQUEST_GRACE
 
         def closing_order(client: ClientConnection) -> tuple[bool, float]:
@@ -159,14 +166,14 @@
                 self._close_overdue(client, now)
 
     def _reject_overdue(self, client: ClientConnection, now: float) -> None:
-        """Rejects requests that are still incomplete after ``REQUEST_TIMEOUT``."""
+        """Rejects requests that are not handed on within ``REQUEST_TIMEOUT``."""
         overdue = [
             fastcgi_id
             for fastcgi_id, incoming in client.incoming.items()
             if now - incoming.started_at > REQUEST_TIMEOUT
         ]
         for fastcgi_id in overdue:
-            client.reject_invalid(fastcgi_id, InvalidRequestError("still not whole", 408))
+            client.reject_overdue(fastcgi_id)
 
     def _close_overdue(self, client: ClientConnection, now: float) -> None:
         """Closes a connection that has exceeded one of its timeouts."""
--- a/quartzrouter/server/fastcgi.py
+++ b/quartzrouter/server/fastcgi.py
@@ -62,6 +62,8 @@
 # turn, so this limits how long a large response delays a small one.
 MAX_STDOUT_CONTENT = 16_376
 
+MAX_PAIRS = 512  # in the parameters of a request; front servers limit header fields to about 100
+
 LONG_LENGTH_FLAG = 0x80  # in the first byte of a length in a name-value pair: it has four bytes, not one
 LONG_LENGTH_MASK = 0x7FFFFFFF
 
@@ -70,6 +72,10 @@
     """The bytes are not FastCGI, or a record is not allowed at its place."""
 
 
+class TooManyPairsError(ProtocolError):
+    """There are more name-value pairs than any client needs; decoding them all would delay others."""
+
+
 class Record(NamedTuple):
     """A whole record, or a piece of a record of one of the ``STREAM_TYPES``."""
 
@@ -138,15 +144,20 @@
     return role, flags
 
 
-def decode_pairs(data: bytes) -> dict[str, str]:
+def decode_pairs(data: bytes, max_pairs: int = MAX_PAIRS) -> dict[str, str]:
     """Decodes name-value pairs; names and values are decoded as Latin-1, as is usual in CGI.
 
+    :raises TooManyPairsError: if there are more than ``max_pairs``.
     :raises ProtocolError: if the data ends within a pair.
     """
-    pairs = {}
+    pairs: dict[str, str] = {}
+    pair_count = 0
     text = data.decode("latin-1")
     position = 0
     while position < len(data):
+        pair_count += 1
+        if pair_count > max_pairs:
+            raise TooManyPairsError(f"more than {max_pairs} fields")
         name_length, position = _decode_length(data, position)
         value_length, position = _decode_length(data, position)
         name_end = position + name_length
--- a/quartzrouter/server/process.py
+++ b/quartzrouter/server/process.py
@@ -49,6 +49,7 @@
     TimerFired,
 )
 from quartzrouter.server.listener import Listener
+from quartzrouter.server.memory_budget import divide_memory, resident_memory
 from quartzrouter.server.rate_limited_log import ForwardingHandler, RateLimitedLog
 from quartzrouter.server.request_reader import ParamsParser, parse_request
 from quartzrouter.server.shutdown import drain_and_close
@@ -59,8 +60,6 @@
 # Descriptors for the listener, the discovery service, the event loop, the log and Python itself.
 RESERVED_DESCRIPTORS = 24
 CLIENT_DESCRIPTORS_DIVISOR = 3  # a third of the descriptors is for clients' connections
-REQUEST_MEMORY_DIVISOR = 8  # an eighth of the memory is for requests, with their parameters and bodies
-RESPONSE_MEMORY_DIVISOR = 8  # an eighth is for responses that their clients haven't received yet
 
 
 class RouterProcess:
@@ -83,6 +82,7 @@
         self.log = self._create_log()
         forward_decisions(self.log)
         self.state_machine = self._create_state_machine()
+        self.memory_budget = divide_memory(configuration.memory_limit, resident_memory())
         self.client_connections = self._create_client_connections()
         self.cache_connections = self._create_cache_connections()
         self.endpoint_watch = endpoint_watch.EndpointWatch(
@@ -100,7 +100,7 @@
         self._is_handling_events = False
         self._events_handled = 0  # number of events, except for timer ticks without effects
         self._tick_guard = TickGuard(self.log)
-        self._spin_guard = SpinGuard(lambda: self._events_handled, self.log)
+        self._spin_guard = SpinGuard(self._count_progress, self.log)
         self._next_timer_changed = anyio.Event()
         self.tasks: anyio.abc.TaskGroup
 
@@ -137,8 +137,11 @@
         configuration = self.configuration
         return ClientConnections(
             self.handle_event,
-            configuration.max_descriptors // CLIENT_DESCRIPTORS_DIVISOR,
-            configuration.memory_limit // REQUEST_MEMORY_DIVISOR,
+            min(
+                configuration.max_descriptors // CLIENT_DESCRIPTORS_DIVISOR,
+                self.memory_budget.client_connections,
+            ),
+            self.memory_budget.requests,
             self._create_params_parser(),
             self.log,
             retry_after(configuration.settings.capabilities),
@@ -155,7 +158,7 @@
         return CacheConnections(
             self.handle_event,
             pool,
-            configuration.memory_limit // RESPONSE_MEMORY_DIVISOR,
+            self.memory_budget.responses,
             self._create_copy_reader(),
             configuration.settings.capabilities.load_in_responses,
         )
@@ -174,6 +177,10 @@
         finally:
             self._is_handling_events = False
 
+    def _count_progress(self) -> int:
+        """Returns the number of events handled and of reads from clients, none of which a spin brings."""
+        return self._events_handled + self.client_connections.reads
+
     def _read_clock(self) -> int:
         self._now = self.clock()
         return self._now
--- a/quartzrouter/server/request_reader.py
+++ b/quartzrouter/server/request_reader.py
@@ -12,6 +12,7 @@
 
 MAX_PARAMS_SIZE = 1 << 14  # bytes of parameters in one request
 MAX_BODY_SIZE = 48_000  # bytes in the body of one request
+REQUEST_OVERHEAD = 1 << 10  # bytes that each request takes beside its parameters and body
 MAX_DEADLINE_MS = 3_600_000  # one hour; a longer deadline is assumed to be a mistake
 MAX_TAG = 255  # purges by tag encode the tag in one byte
 HEALTH_PATH = "/health"
@@ -59,7 +60,7 @@
     @property
     def size(self) -> int:
         """The number of bytes that the request holds."""
-        return len(self._params) + len(self._body)
+        return REQUEST_OVERHEAD + len(self._params) + len(self._body)
 
     @property
     def body(self) -> bytes:
@@ -88,10 +89,13 @@
     def end_params(self, parse: ParamsParser) -> None:
         """Parses the parameters, which have all arrived; a health query is then complete.
 
-        :raises InvalidRequestError: if a field is missing or invalid.
+        :raises InvalidRequestError: if a field is missing or invalid, or there are too many.
         :raises fastcgi.ProtocolError: if they are not name-value pairs.
         """
-        params = fastcgi.decode_pairs(bytes(self._params))
+        try:
+            params = fastcgi.decode_pairs(bytes(self._params))
+        except fastcgi.TooManyPairsError as error:
+            raise InvalidRequestError(str(error), 431) from None
         self._content_length = parse_content_length(params)
         is_health_query = params.get("SCRIPT_NAME") == HEALTH_PATH
         self.request = None if is_health_query else parse(params)
--- a/quartzrouter/server/ring_buffer.py
+++ b/quartzrouter/server/ring_buffer.py
@@ -4,8 +4,8 @@
 class RingBuffer:
     """A first-in, first-out buffer of bytes with a fixed capacity.
 
-    Most connections are idle most of the time, so an empty buffer uses no memory: the storage is allocated
-    by the first write and released when the last byte is removed.
+    Most connections are idle most of the time, and slow clients send little at a time, so the storage is no
+    larger than what has been in it since it was last empty, and an empty buffer uses no memory.
 
     :param capacity: number of bytes that the buffer can hold.
     """
@@ -32,14 +32,23 @@
         """
         if len(data) > self.free:
             raise ValueError("the data doesn't fit into the ring buffer")
-        if not self._length:
-            self._storage = bytearray(self.capacity)
-        write_position = (self._start + self._length) % self.capacity
-        until_wrap = min(len(data), self.capacity - write_position)
+        if self._length + len(data) > len(self._storage):
+            self._grow(self._length + len(data))
+        size = len(self._storage)
+        write_position = (self._start + self._length) % size
+        until_wrap = min(len(data), size - write_position)
         self._storage[write_position : write_position + until_wrap] = data[:until_wrap]
         self._storage[: len(data) - until_wrap] = data[until_wrap:]
         self._length += len(data)
 
+    def _grow(self, needed: int) -> None:
+        """Allocates a larger storage, and moves the bytes to its front."""
+        size = max(needed, min(self.capacity, 2 * len(self._storage)))
+        storage = bytearray(size)
+        storage[: self._length] = self.peek(self._length)
+        self._storage = storage
+        self._start = 0
+
     def peek(self, count: int) -> bytes:
         """Returns bytes from the front without removing them.
 
@@ -47,9 +56,10 @@
         """
         count = min(count, self._length)
         end = self._start + count
-        if end <= self.capacity:
+        size = len(self._storage)
+        if end <= size:
             return bytes(self._storage[self._start : end])
-        return bytes(self._storage[self._start :]) + bytes(self._storage[: end - self.capacity])
+        return bytes(self._storage[self._start :]) + bytes(self._storage[: end - size])
 
     def drop(self, count: int) -> None:
         """Removes bytes from the front.
@@ -59,8 +69,9 @@
         if count > self._length:
             raise ValueError("the ring buffer holds fewer bytes")
         self._length -= count
-        self._start = (self._start + count) % self.capacity
-        if not self._length:
+        if self._length:
+            self._start = (self._start + count) % len(self._storage)
+        else:
             self._start = 0
             self._storage = bytearray()
 
--- a/quartzrouter/server/stream.py
+++ b/quartzrouter/server/stream.py
@@ -38,6 +38,7 @@
 
     def __init__(self, raw: socket.socket):
         self.raw = raw
+        self._is_readable = False  # data has been seen since the last read, so ``receive`` need not wait
         raw.setblocking(False)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -48,7 +49,9 @@
         :raises anyio.EndOfStream: if the peer has ended its side.
         """
         while True:
-            await self._wait(anyio.wait_readable)
+            if not self._is_readable:
+                await self.wait_readable()
+            self._is_readable = False
             try:
                 data = self.raw.recv(max_bytes)
             except BlockingIOError:
@@ -57,6 +60,11 @@
                 raise anyio.EndOfStream
             return data
 
+    async def wait_readable(self) -> None:
+        """Waits until data or the end of the peer's side has arrived; ``receive`` then reads it at once."""
+        await self._wait(anyio.wait_readable)
+        self._is_readable = True
+
     async def send(self, data: bytes) -> None:
         """Writes all of the data; returns once the kernel has accepted it."""
         unsent = memoryview(data)
@@ -80,7 +88,8 @@
         Uses MSG_PEEK, which works with any kernel; TCP_INFO is all zeros with some.
         """
         try:
-            return Pending.UNREAD if self.raw.recv(1, socket.MSG_PEEK) else Pending.ENDED
+            self._is_readable = bool(self.raw.recv(1, socket.MSG_PEEK))
+            return Pending.UNREAD if self._is_readable else Pending.ENDED
         except BlockingIOError:
             return Pending.QUIET
         except OSError:  # reset by the peer, or closed by this process
--- a/quartzrouter/server/turns.py
+++ b/quartzrouter/server/turns.py
@@ -11,8 +11,8 @@
 import anyio
 
 MAX_TURN = 0.001  # seconds of CPU time after which a connection that still has data waits for its next turn
-# Seconds between the starts of two such turns: they leave as much time to other connections as they take.
-TURN_INTERVAL = 2 * MAX_TURN
+MIN_TURN_COST = 0.0001  # seconds; what it takes to wake up a connection's task is not measured
+MAX_TURN_COST = 0.02  # seconds; bounds the rest after a turn in which a single message took very long
 
 
 class Turn:
@@ -31,20 +31,31 @@
         """Returns True once the connection has to wait for its next turn."""
         return time.thread_time() - self._started_at > MAX_TURN
 
+    @property
+    def cost(self) -> float:
+        """The seconds of CPU time since its start, within bounds."""
+        return min(max(time.thread_time() - self._started_at, MIN_TURN_COST), MAX_TURN_COST)
+
 
 class TurnQueue:
     """The connections that wait for their next turn, in the order in which they came.
 
-    All connections of a process share it.  A connection whose data fits in one turn never waits here.
+    All connections of a process share it.  Their turns together leave as much time to other connections as
+    they take.  A connection whose data fits in one turn never waits here.
     """
 
     def __init__(self) -> None:
         self._lock = anyio.Lock()  # wakes tasks in the order in which they came
         self._next_start = 0.0  # s of the loop's clock
 
-    async def wait(self) -> Turn:
-        """Waits for the connection's next turn."""
+    async def wait(self, cost: float) -> Turn:
+        """Waits for a connection's next turn.
+
+        :param cost: seconds of CPU time that it will probably take: what the connection's last turn took.
+        """
         async with self._lock:
-            await anyio.sleep(max(0.0, self._next_start - anyio.current_time()))
-            self._next_start = anyio.current_time() + TURN_INTERVAL
+            rest = self._next_start - anyio.current_time()
+            if rest > MAX_TURN:  # short rests are added up, as the loop's timers count milliseconds
+                await anyio.sleep(rest)
+            self._next_start = max(anyio.current_time(), self._next_start) + 2 * cost
         return Turn()
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -9,8 +9,16 @@
 from quartzrouter.configuration import Configuration, read_configuration
 from quartzrouter.configuration_section import ConfigurationError, ConfigurationSection
 from quartzrouter.deployment_settings import DeploymentSettings
-from quartzrouter.server import cache_responses, discovery_protocol, fastcgi, request_reader, responses
+from quartzrouter.server import (
+    cache_responses,
+    discovery_protocol,
+    fastcgi,
+    memory_budget,
+    request_reader,
+    responses,
+)
 from quartzrouter.server.header_fields import HeaderFields
+from quartzrouter.server.memory_budget import divide_memory
 from quartzrouter.server.ring_buffer import RingBuffer
 
 
@@ -153,6 +161,30 @@
     assert not head.has_copy_headers
 
 
+# Guards against heads of very many short fields, whose decoding holds up all other clients.
+def test_a_request_with_very_many_fields_is_rejected():
+    incoming = request_reader.IncomingRequest(True, 0.0)
+    pairs = b"".join(bytes((4, 0)) + f"{number:04d}".encode() for number in range(fastcgi.MAX_PAIRS + 1))
+    incoming.add(fastcgi.RecordType.PARAMS, pairs, len(pairs))
+    with pytest.raises(request_reader.InvalidRequestError) as raised:
+        incoming.end_params(lambda params: None)
+    assert raised.value.status == 431
+    assert len(fastcgi.decode_pairs(pairs[6:])) == fastcgi.MAX_PAIRS
+
+
+# Guards against parts of a small limit that add up to more than the program leaves of it.
+@pytest.mark.parametrize(("limit", "resident"), [(64, 27), (64, 38), (192, 27), (48, 27)])
+def test_the_parts_of_the_memory_fit_beside_the_program(limit, resident):
+    budget = divide_memory(limit << 20, resident << 20)
+    connections = budget.client_connections * memory_budget.CONNECTION_MEMORY
+    assert (resident << 20) + budget.requests + budget.responses + connections <= limit << 20
+    assert budget.requests <= limit << 20 >> 3
+
+
+def test_a_program_larger_than_the_limit_is_left_out_of_account():
+    assert divide_memory(1 << 20, 1 << 27).requests == 1 << 17
+
+
 LINE = bytes.fromhex("00c41f7a 7f080103 20fb 01 01 00 0002 00002904 0000019ab3c4d5e6".replace(" ", ""))
 
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -376,6 +376,9 @@
 
         reads = max_queued = 0
 
+        async def wait_readable(self):
+            await anyio.sleep(0)
+
         async def receive(self, max_bytes):
             await anyio.sleep(0)
             self.reads += 1
