The id of a request that was sent on doesn't run again after its client has left

Callers saw: a client closed its connection while a cache worked on its request, the same id came again twice on new connections, and caches ran it three times; on the platform for both kinds of classes, and under a plan.

Cause: an id is refused while its request is open only. The request is closed with its client, and its id forgotten, although the cache may have run it.

--- a/quartzrouter/server/pending_request.py
+++ b/quartzrouter/server/pending_request.py
@@ -55,12 +55,14 @@
 class PendingRequest:
     """A request in flight: its client is owed a response, or its attempt is still running.
 
+    :param was_sent: an attempt has been passed on to be written, so the request may have been executed.
     :param is_response_owed: False once the client has its response or has disconnected; the attempt may
         nevertheless have to run to its end.
     """
 
     client_request: ClientRequest
     is_response_owed: bool = True
+    was_sent: bool = False
     attempt: PendingAttempt | None = None
 
     @property
--- a/quartzrouter/server/state_machine.py
+++ b/quartzrouter/server/state_machine.py
@@ -9,7 +9,7 @@
 
 from quartzrouter.deployment_settings import BYTES_PER_KB
 from quartzrouter.routing.driver import MAINTENANCE_TIMER, RouterDriver
-from quartzrouter.routing.model import AttemptStatus, EndpointState, Forward, Request
+from quartzrouter.routing.model import AttemptStatus, EndpointState, Forward, Idempotency, Request
 from quartzrouter.routing.router import Router
 from quartzrouter.server import cache_protocol, responses
 from quartzrouter.server.cache_protocol import HTTP_NOT_MODIFIED, HTTP_OK
@@ -41,6 +41,7 @@
     TimerFired,
 )
 from quartzrouter.server.pending_request import PendingAttempt, PendingRequest
+from quartzrouter.server.sent_ids import SentIds
 from quartzrouter.server.timers import (
     AttemptTimeout,
     ClientDeadline,
@@ -68,6 +69,7 @@
         super().__init__(router)
         self.in_flight: dict[int, PendingRequest] = {}  # by request id
         self.open_correlation_ids: set[str] = set()  # of requests without a response, in lower case
+        self.sent_ids = SentIds()  # in lower case
         self.timers = TimerQueue()
         self.addresses: dict[str, tuple[str, int]] = {}  # host and port by the name of a listed endpoint
         self.has_endpoint_list = False  # True once any endpoint was listed
@@ -239,6 +241,10 @@
             response = responses.invalid(409, "X-Correlation-Id is in use")
             self.effects.append(SendResponse(request_id, response))
             return
+        if self.sent_ids.contains(pending.correlation_id, now):
+            response = responses.invalid(409, "X-Correlation-Id has been used")
+            self.effects.append(SendResponse(request_id, response))
+            return
         self.in_flight[request_id] = pending
         self.open_correlation_ids.add(pending.correlation_id)
         if self.is_closed:
@@ -265,6 +271,11 @@
         """Returns True if caches keep copies of the object, so that responses tell the copy and its age."""
         return not self.router.traffic_classes[client_request.traffic_class].uncacheable
 
+    def _may_run_again(self, client_request: ClientRequest) -> bool:
+        """Returns True if a second execution of the request has no effect."""
+        traffic_class = self.router.traffic_classes[client_request.traffic_class]
+        return traffic_class.idempotency is Idempotency.IDEMPOTENT
+
     def _extra_headers(self, client_request: ClientRequest) -> list[tuple[str, str]]:
         """Returns headers that are sent in addition to those of the platform's protocol."""
         return []
@@ -275,6 +286,8 @@
             return
         pending.is_response_owed = False
         self.open_correlation_ids.discard(pending.correlation_id)
+        if pending.was_sent:
+            self.sent_ids.add(pending.correlation_id, now)
         self.cancel_request(request_id, now)
         if pending.attempt and not pending.attempt.is_sent:  # nothing was sent, and nothing will be
             self._abandon_attempt(request_id, pending.attempt, AttemptStatus.NOT_SENT, now)
@@ -287,6 +300,9 @@
         if pending.is_response_owed:
             self.effects.append(SendResponse(request_id, data))
             self.open_correlation_ids.discard(pending.correlation_id)
+            # Whether the client is still there to receive the response is not known.
+            if pending.was_sent and not self._may_run_again(pending.client_request):
+                self.sent_ids.add(pending.correlation_id, self.now)
         pending.is_response_owed = False
         if not pending.attempt:
             del self.in_flight[request_id]
@@ -307,6 +323,7 @@
             self._abandon_attempt(request_id, attempt, AttemptStatus.NOT_SENT, now)
             return
         attempt.is_sent = True
+        self.in_flight[request_id].was_sent = True
         target = cache_protocol.request_target(client_request)
         headers = cache_protocol.request_headers(client_request, decision, attempt.times_out_at - now)
         headers += self._extra_headers(client_request)
--- a/quartzrouter/standalone/state_machine.py
+++ b/quartzrouter/standalone/state_machine.py
@@ -257,6 +257,10 @@
         """
         return not client_request.route_selection.traffic_class.uncacheable
 
+    def _may_run_again(self, client_request: ClientRequest) -> bool:
+        """Returns True if a second execution has no effect, by the configuration of the request's route."""
+        return client_request.route_selection.traffic_class.idempotency is Idempotency.IDEMPOTENT
+
     def _extra_headers(self, client_request: ClientRequest) -> list[tuple[str, str]]:
         return [("X-Path", client_request.route_selection.path)]
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -8,7 +8,7 @@
 import pytest
 from hostile_clients import encode_record, whole_request
 from measured_process import SoundClient, hostile_clients, measured_process, wait_until_listening
-from standins import RouterHarness, free_port
+from standins import OK_RESPONSE, RouterHarness, free_port
 
 from quartzrouter.server import process
 from quartzrouter.server.fastcgi import RecordType
@@ -97,6 +97,31 @@
                 tasks.cancel_scope.cancel()
         return [line for line in self.requests if line.startswith("GET /x/")]
 
+    async def leave_and_come_again(self, path):
+        """A client leaves while a cache works, and sends the same request again; returns what caches got."""
+        answers = []
+        async with anyio.create_task_group() as tasks:
+            command, environ = await self.configure(tasks)
+            with measured_process(command, self.folder / "stderr", environ):
+                await wait_until_listening(self.port)
+                self.responses[7] = [0.3, OK_RESPONSE]
+                for leaves in (True, False, False):
+                    client = await self.connect(self.port)
+                    await client.send_request(7, path=path)
+                    if leaves:
+                        with anyio.fail_after(5):
+                            while not self.requests_for_object(7):
+                                await anyio.sleep(0.01)
+                    else:
+                        answers.append(await client.receive_response())
+                    await client.stream.aclose()
+                    await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+        return self.requests_for_object(7), answers
+
+    def requests_for_object(self, number):
+        return [line for line in self.requests if line.endswith(f"/{number:016x}/0 HTTP/1.1")]
+
     def send_and_leave(self):
         """Opens connections, each of which is closed once the kernel has taken all that was written."""
         chance = random.Random(SEED)
@@ -156,3 +181,17 @@
     sent_on = anyio.run(harness.leave_with_much_unread, backend_options=process.BACKEND_OPTIONS)
     print(f"{len(sent_on)} of {8 * LEAVING_CLIENTS} requests reached a cache")
     assert not sent_on
+
+
+# Guards against an id that runs twice because it comes again after its client has left.
+@pytest.mark.parametrize(
+    ("has_plan", "path"),
+    [(False, "/rpc/page"), (False, "/rpc/sale"), (True, "/rpc/page")],
+    ids=["platform-idempotent", "platform-not-idempotent", "plan"],
+)
+def test_an_id_whose_client_has_left_does_not_run_again(tmp_path, has_plan, path):
+    harness = RouterBesideHostileClients(tmp_path, has_plan)
+    ran, answers = anyio.run(harness.leave_and_come_again, path, backend_options=process.BACKEND_OPTIONS)
+    print(f"{len(ran)} times at caches; answers {answers}")
+    assert len(ran) == 1
+    assert all("Status: 409" in answer for answer in answers)
--- a/tests/test_state_machine.py
+++ b/tests/test_state_machine.py
@@ -1,9 +1,9 @@
 """Tests of the state machine without sockets: effects of events, compared with traces in tests/traces/."""
 
-from conftest import listed
+from conftest import StateMachineHarness, listed
 
 from quartzrouter.routing.model import AttemptStatus, Defer
-from quartzrouter.server import events
+from quartzrouter.server import events, sent_ids
 from quartzrouter.server.attempt_failure import AttemptStage, FailureCause
 
 
@@ -241,3 +241,27 @@
     machine.now += 2_000_001
     machine.timer_fired()
     assert_idle(machine)
+
+
+# Guards against a request that must run once only and comes again under its id after it was answered.
+def test_an_id_that_was_answered_runs_again_only_where_that_is_harmless():
+    lines = []
+    machine = StateMachineHarness(lines)
+    for request_id, traffic_class in enumerate(("page", "page", "sale", "sale"), 1):
+        correlation_id = f"{traffic_class:>016}".replace(" ", "0")
+        machine.request_received(request_id, traffic_class, correlation_id=correlation_id)
+        machine.connection_ready(request_id)
+        machine.response_head(request_id)
+        machine.response_complete(request_id)
+    sent = [line for line in lines if "SendRequest" in line]
+    assert len(sent) == 3 and "409" in "".join(lines)
+
+
+# Guards against a table of ids that grows with the requests.
+def test_ids_are_forgotten_in_time_and_number():
+    ids = sent_ids.SentIds()
+    for number in range(2 * sent_ids.MAX_IDS):
+        ids.add(f"{number:016x}", number)
+    assert not ids.contains(f"{0:016x}", 10) and ids.contains(f"{2 * sent_ids.MAX_IDS - 1:016x}", 10)
+    assert not ids.contains(f"{2 * sent_ids.MAX_IDS - 1:016x}", 1 << 40)
+    assert len(ids._expires_at) == sent_ids.MAX_IDS
