An endpoint is gone once discovery lists a new one at its address

Cause: the router kept both names with one address; the one before stayed up and warm, so its share went to that address past the new one's slow start, and attempts that were decided for it were sent there.

Change: only one process listens at an address, so the state machine adds the one before to the update as gone. Names that are known already, or that one update lists together, may share an address as before.

--- a/quartzrouter/server/state_machine.py
+++ b/quartzrouter/server/state_machine.py
@@ -7,9 +7,11 @@
 Times are whole microseconds.
 """
 
+from dataclasses import replace
+
 from quartzrouter.deployment_settings import BYTES_PER_KB
 from quartzrouter.routing.driver import MAINTENANCE_TIMER, RouterDriver
-from quartzrouter.routing.model import AttemptStatus, EndpointState, Forward, Idempotency, Request
+from quartzrouter.routing.model import AttemptStatus, Endpoint, EndpointState, Forward, Idempotency, Request
 from quartzrouter.routing.router import Router
 from quartzrouter.server import cache_protocol, responses
 from quartzrouter.server.cache_protocol import HTTP_NOT_MODIFIED, HTTP_OK
@@ -72,6 +74,7 @@
         self.sent_ids = SentIds()  # in lower case
         self.timers = TimerQueue()
         self.addresses: dict[str, tuple[str, int]] = {}  # host and port by the name of a listed endpoint
+        self.listed_endpoints: dict[str, Endpoint] = {}  # by name, as listed last
         self.has_endpoint_list = False  # True once any endpoint was listed
         self.health_checks: set[str] = set()  # endpoints whose health check is running
         self.is_shutting_down = False  # True from SIGTERM on
@@ -381,6 +384,8 @@
     # -- events of endpoints -----------------------------------------------------------------------
 
     def _endpoints_updated(self, update: EndpointUpdate, now: int) -> None:
+        update = update._replace(endpoints=[*update.endpoints, *self._displaced_endpoints(update)])
+        self.listed_endpoints |= {endpoint.name: endpoint for endpoint in update.endpoints}
         self._update_addresses(update.addresses)
         states = {endpoint.name: endpoint.state for endpoint in update.endpoints}
         if update.is_snapshot:
@@ -393,10 +398,30 @@
         for name, state in states.items():
             if state is EndpointState.GONE:
                 self.addresses.pop(name, None)
+                self.listed_endpoints.pop(name, None)
         for pending in self.in_flight.values():
             if pending.attempt and pending.attempt.uses_any(unusable):
                 pending.attempt.is_outdated = True
 
+    def _displaced_endpoints(self, update: EndpointUpdate) -> list[Endpoint]:
+        """Returns, as gone, the endpoints at whose addresses an update lists new ones.
+
+        Guards against a new process that is taken for the one before it at its address: the end of that one
+        may be told later, or never, and its share of the requests would reach the new process meanwhile,
+        however cold it is.
+        """
+        states = {endpoint.name: endpoint.state for endpoint in update.endpoints}
+        taken = {
+            address
+            for name, address in update.addresses.items()
+            if name not in self.addresses and states.get(name) is not EndpointState.GONE
+        }
+        return [
+            replace(self.listed_endpoints[name], state=EndpointState.GONE)
+            for name, address in self.addresses.items()
+            if address in taken and name not in states
+        ]
+
     def _update_addresses(self, addresses: dict[str, tuple[str, int]]) -> None:
         """Records the endpoints' addresses, and closes connections to former addresses."""
         for name, address in addresses.items():
--- a/tests/test_state_machine.py
+++ b/tests/test_state_machine.py
@@ -265,3 +265,26 @@
     assert not ids.contains(f"{0:016x}", 10) and ids.contains(f"{2 * sent_ids.MAX_IDS - 1:016x}", 10)
     assert not ids.contains(f"{2 * sent_ids.MAX_IDS - 1:016x}", 1 << 40)
     assert len(ids._expires_at) == sent_ids.MAX_IDS
+
+
+# Guards against a new process at the address of one that has gone, to which the other's requests are sent.
+def test_an_endpoint_is_gone_once_a_new_one_is_listed_at_its_address():
+    lines = []
+    machine = StateMachineHarness(lines)
+    state_machine = machine.state_machine
+    machine.request_received(1)
+    (endpoint,) = [name for name in ("c1", "c2") if f" {name}," in lines[-1]]  # it is being connected to
+    new = f"{endpoint}9"
+    update = events.EndpointUpdate(
+        listed({new: "up"}, started=machine.now), {new: state_machine.addresses[endpoint]}, False
+    )
+    machine.step("a new endpoint at its address", update)
+    assert endpoint not in state_machine.addresses and new in state_machine.addresses
+    machine.connection_ready(1)
+    assert not any(
+        "SendRequest 1, 0," in line for line in lines
+    )  # the decision for the other is no longer valid
+    later = len(lines)
+    for request_id in range(2, 40):
+        machine.request_received(request_id, object_key=f"{request_id:016x}")
+    assert not any(f" {endpoint}," in line for line in lines[later:])
