A cache that answers the courier without an end delays no purges of other caches

Callers saw: beside one cache that answers with one-byte chunks at full speed, another cache got its purges after 0.119 s (median of 25; slowest 0.156 s) where 0.007 s (0.021 s) are usual.

Cause: a response was read to its end or its time-out, 2,700 pieces of body in one step of the loop.

Change: a response with more than 64 pieces of body is no answer.

--- a/quartzrouter/purge_log/cache_connection.py
+++ b/quartzrouter/purge_log/cache_connection.py
@@ -17,6 +17,7 @@
 OK = 200
 CONFLICT = 409
 MAX_READ_BYTES = 1 << 14  # per call of receive()
+MAX_BODY_PARTS = 64  # pieces of a response's body, which says nothing; a usual one has none
 MICROSECONDS_PER_SECOND = 1e6
 EXCHANGE_ERRORS = (*CONNECTION_ERRORS, TimeoutError, h11.ProtocolError, ValueError)
 
@@ -100,7 +101,14 @@
         return response.purged_up_to
 
     async def _read_response(self, stream: anyio.abc.ByteStream) -> _Response:
+        """Reads a response.
+
+        Guards against a cache that sends a body without end, which would hold up deliveries to the others.
+
+        :raises ValueError: if the response is incomplete, or has a long body.
+        """
         response = _Response(0, 0, 0)
+        body_parts = 0
         while True:
             event = self.http.next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -112,6 +120,10 @@
                 purged_up_to = int(fields.get(PURGED_UP_TO) or 0)
                 highest_lease_seen = int(fields.get(HIGHEST_LEASE_SEEN) or 0)
                 response = _Response(event.status_code, purged_up_to, highest_lease_seen)
+            elif isinstance(event, h11.Data):
+                body_parts += 1
+                if body_parts > MAX_BODY_PARTS:
+                    raise ValueError("the cache answers with a long body")
             elif isinstance(event, h11.ConnectionClosed):
                 raise ValueError("the cache closed the connection without a complete response")
 
