A response in tiny chunks holds up no other client of a router

Callers saw: while two clients asked for objects that a cache sent in one-byte chunks, others waited 0.5 s for each answer (0.69 s at the most). Found on a path related to hostile clients, not reported.

Cause: a read of 32 KB brings 5,400 parts of such a response, all handled in one step of the loop.

Change: after 64 parts other connections are served.

--- a/quartzrouter/server/cache_connection.py
+++ b/quartzrouter/server/cache_connection.py
@@ -16,6 +16,7 @@
 # Bytes in the socket's own receive buffer. All of them are read at once, so the size limits the memory that a
 # fast sender can fill.
 SOCKET_RECEIVE_BUFFER = 1 << 16
+EVENTS_PER_STEP = 64  # parts of a response that are handled before other connections are served
 MAX_HEAD_SIZE = 1 << 14  # bytes of a response's head
 
 # The request that h11 is told was sent, so that it can parse the response. The bytes that are really sent are
@@ -46,6 +47,7 @@
         self.last_exchange: LastExchange | None = None
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
         self._incoming = RingBuffer(READ_BUFFER_SIZE)
+        self._events_read = 0
         stream.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_RECEIVE_BUFFER)
 
     async def send_request(self, target: str, headers: list[tuple[str, str]], body: bytes) -> None:
@@ -73,6 +75,9 @@
 
         :raises h11.RemoteProtocolError: if the bytes are not HTTP.
         """
+        self._events_read += 1
+        if self._events_read % EVENTS_PER_STEP == 0:  # one read may bring thousands of one-byte chunks
+            await anyio.sleep(0)
         while (event := self._http.next_event()) is h11.NEED_DATA:
             if not len(self._incoming):
                 try:
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -8,7 +8,7 @@
 import pytest
 from hostile_clients import encode_record, whole_request
 from measured_process import SoundClient, hostile_clients, measured_process, wait_until_listening
-from standins import OK_RESPONSE, RouterHarness, free_port
+from standins import COPY_HEADERS, OK_RESPONSE, RouterHarness, free_port
 
 from quartzrouter.server import process
 from quartzrouter.server.fastcgi import RecordType
@@ -21,6 +21,8 @@
 DESCRIPTORS = 1024
 SMALLEST_MEMORY_MB, SMALLEST_DESCRIPTORS = 32, 256  # of the platform
 MAX_FAILURE_SHARE = 0.05
+TINY_CHUNK_OBJECTS = 400
+MAX_WAIT_BESIDE_PEERS = 0.4  # seconds; the latency objective of the class
 LEAVING_CLIENTS = 20
 UNREAD_RECORDS = 40  # behind the requests of a client that leaves
 UNREAD_BYTES = 4 << 20  # what its kernel takes at once
@@ -122,6 +124,32 @@
                 tasks.cancel_scope.cancel()
         return self.requests_for_object(7), answers
 
+    async def ask_beside_a_peer_with_tiny_chunks(self):
+        """Two clients ask for objects that come in one-byte chunks; returns a sound client beside them."""
+        for number in range(TINY_CHUNK_OBJECTS):
+            head = b"HTTP/1.1 200 OK\r\n" + COPY_HEADERS + b"Transfer-Encoding: chunked\r\n\r\n"
+            self.responses[(1 << 20) + number] = [head + b"1\r\nx\r\n" * 100_000 + b"0\r\n\r\n"]
+
+        async def ask(first):
+            client = await self.connect(self.port)
+            for number in range(first, TINY_CHUNK_OBJECTS, 2):
+                id = (1 << 20) + number
+                await client.send_request(1, HTTP_X_CORRELATION_ID=f"{id:016x}", HTTP_X_SUBJECT=f"{id:016x}")
+                await client.receive_response()
+
+        async with anyio.create_task_group() as tasks:
+            command, environ = await self.configure(tasks)
+            with measured_process(command, self.folder / "stderr", environ):
+                await wait_until_listening(self.port)
+                sound = SoundClient(self.request)
+                tasks.start_soon(sound.run)
+                await anyio.sleep(0.5)
+                for first in (0, 1):
+                    tasks.start_soon(ask, first)
+                await anyio.sleep(SECONDS)
+                tasks.cancel_scope.cancel()
+        return sound
+
     def requests_for_object(self, number):
         return [line for line in self.requests if line.endswith(f"/{number:016x}/0 HTTP/1.1")]
 
@@ -206,3 +234,13 @@
     print(f"{len(ran)} times at caches; answers {answers}")
     assert len(ran) == 1
     assert all("Status: 409" in answer for answer in answers)
+
+
+# Guards against a cache whose response in one-byte chunks holds up all other clients.
+@pytest.mark.parametrize("has_plan", [False, True], ids=["platform", "plan"])
+def test_a_response_in_tiny_chunks_delays_no_other_client(tmp_path, has_plan):
+    harness = RouterBesideHostileClients(tmp_path, has_plan)
+    play = harness.ask_beside_a_peer_with_tiny_chunks
+    sound = anyio.run(play, backend_options=process.BACKEND_OPTIONS)
+    print(f"slowest of {len(sound.waits)} answers {max(sound.waits):.3f} s")
+    assert max(sound.waits) < MAX_WAIT_BESIDE_PEERS
