A closing connection with an unsent response isn't closed to make room

Cause: let a connection that lingers go first at the limit of connections, and took any that is closing and awaits no response for one. That includes a client without KEEP_CONN whose response is queued: it would have lost it. Found by reading the change again.

Change: the rule is taken out whole.

--- a/quartzrouter/server/client_connection.py
+++ b/quartzrouter/server/client_connection.py
@@ -293,9 +293,12 @@
         A connection that holds little may exceed the memory that all share, so that clients with small
         requests are served while others fill it.
         """
+        shared = self._connections.free_request_memory
+        if shared >= SMALL_REQUEST_MEMORY:
+            return shared
         held = sum(incoming.size for incoming in self.incoming.values())
         held += sum(awaited.size for awaited in self.awaited.values())
-        return max(self._connections.free_request_memory, SMALL_REQUEST_MEMORY - held)
+        return max(shared, SMALL_REQUEST_MEMORY - held)
 
     def _begin_request(self, fastcgi_id: int, queueing_time: int) -> None:
         """Hands on a complete request, which its client has not aborted.
@@ -401,16 +404,6 @@
         self._connections.open.discard(self)
         return True
 
-    @property
-    def is_lingering(self) -> bool:
-        """Returns True if the connection is to be closed, and only its client's unread data delays that."""
-        return self.responses_ended or (self.closing and not self.awaited)
-
-    def close_lingering(self) -> None:
-        """Closes a connection that lingers, although its client goes on sending."""
-        self.scope.cancel()
-        self._connections.open.discard(self)
-
     def abandon_requests(self) -> None:
         """Drops all requests of a client that has gone, and releases their memory."""
         self._connections.free_request_memory += sum(incoming.size for incoming in self.incoming.values())
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -14,6 +14,7 @@
 from standins import RouterHarness, free_port
 
 from quartzrouter.server import client_connections, process, stream
+from quartzrouter.server.rate_limited_log import RateLimitedLog
 
 # Seconds before a close in which a written request counts as crossing it; a front server sends such a request
 # again.
@@ -193,3 +194,21 @@
         assert "200 OK" in await kept.receive_response()
 
     harness.run_steps(steps)
+
+
+# Guards against a response that is cut off because its connection is closing and another client connects.
+def test_a_connection_with_an_unsent_response_is_not_closed_to_make_room():
+    class QuietStream:
+        def pending(self):
+            return stream.Pending.QUIET
+
+    async def run():
+        connections = client_connections.ClientConnections(None, 1, 1, None, RateLimitedLog("n", int))
+        client = client_connections.ClientConnection(connections, QuietStream())
+        connections.open.add(client)
+        client.closing = True  # its client didn't ask to keep the connection
+        client.writer.queue(1, [b"response"])
+        assert not connections.admit()
+        assert not client.scope.cancel_called and client in connections.open
+
+    anyio.run(run)
