--- a/quartzrouter/purge_log/line_connection.py
+++ b/quartzrouter/purge_log/line_connection.py
@@ -12,8 +12,9 @@
 
 from quartzrouter.purges.messages import MAX_LINE_BYTES, MalformedMessageError
 from quartzrouter.server.attempt_failure import CONNECTION_ERRORS
-from quartzrouter.server.byte_stream import connect_stream
+from quartzrouter.server.byte_stream import ByteStream
 from quartzrouter.server.rate_limited_log import RateLimitedLog
+from quartzrouter.server.stream import connect as open_stream
 from quartzrouter.server.turns import Turn, TurnQueue
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -135,7 +136,7 @@
     :raises TimeoutError: if nothing answers.
     """
     with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
-        return await connect_stream(address)
+        return ByteStream(await open_stream(address))
 
 
 def first_error(group: BaseExceptionGroup) -> BaseException:
--- a/quartzrouter/server/byte_stream.py
+++ b/quartzrouter/server/byte_stream.py
@@ -4,17 +4,14 @@
 ``receive`` that has to wait, so the data of a sender that never pauses accumulates without a limit.
 """
 
-import socket
 from collections.abc import Awaitable, Callable
 
 import anyio
 
 from quartzrouter.server.rate_limited_log import RateLimitedLog
-from quartzrouter.server.stream import Stream, connect
+from quartzrouter.server.stream import ACCEPT_RETRY_DELAY, Stream, accept_waiting
 
 MAX_READ_BYTES = 1 << 16  # per call of receive() without an argument
-MAX_ACCEPTED_AT_ONCE = 8  # at one wake-up, so that open connections are served between them
-ACCEPT_RETRY_DELAY = 0.05  # seconds after a failed accept
 
 
 class ByteStream(anyio.abc.ByteStream):
@@ -56,15 +53,6 @@
         self._stream.close()
 
 
-async def connect_stream(address: tuple[str, int]) -> ByteStream:
-    """Opens a connection.
-
-    :param address: an IP address and a port.
-    :raises OSError: if it could not be opened.
-    """
-    return ByteStream(await connect(address))
-
-
 async def serve_listener(
     listener: anyio.abc.Listener,
     handle: Callable[[anyio.abc.ByteStream], Awaitable[None]],
@@ -80,30 +68,8 @@
         while True:
             await anyio.wait_readable(raw)
             try:
-                for accepted in _accept_waiting(raw):
-                    tasks.start_soon(handle, accepted)
+                for stream in accept_waiting(raw):
+                    tasks.start_soon(handle, ByteStream(stream))
             except OSError as error:
                 report.say("connection", f"accept failed: {error}")
                 await anyio.sleep(ACCEPT_RETRY_DELAY)
-
-
-def _accept_waiting(listening_socket: socket.socket) -> list[ByteStream]:
-    """Accepts the connections that wait, up to a limit.
-
-    :raises OSError: if the system has no descriptors or memory left, and none could be accepted.
-    """
-    accepted_streams: list[ByteStream] = []
-    while len(accepted_streams) < MAX_ACCEPTED_AT_ONCE:
-        try:
-            accepted, _ = listening_socket.accept()
-        except BlockingIOError:
-            break
-        except OSError:
-            if accepted_streams:
-                break
-            raise
-        try:
-            accepted_streams.append(ByteStream(Stream(accepted)))
-        except OSError:  # the connection has already ended
-            accepted.close()
-    return accepted_streams
--- a/quartzrouter/server/fastcgi.py
+++ b/quartzrouter/server/fastcgi.py
@@ -144,10 +144,10 @@
     return role, flags
 
 
-def decode_pairs(data: bytes, max_pairs: int = MAX_PAIRS) -> dict[str, str]:
+def decode_pairs(data: bytes) -> dict[str, str]:
     """Decodes name-value pairs; names and values are decoded as Latin-1, as is usual in CGI.
 
-    :raises TooManyPairsError: if there are more than ``max_pairs``.
+    :raises TooManyPairsError: if there are more than ``MAX_PAIRS``.
     :raises ProtocolError: if the data ends within a pair.
     """
     pairs: dict[str, str] = {}
@@ -156,8 +156,8 @@
     position = 0
     while position < len(data):
         pair_count += 1
-        if pair_count > max_pairs:
-            raise TooManyPairsError(f"more than {max_pairs} fields")
+        if pair_count > MAX_PAIRS:
+            raise TooManyPairsError(f"more than {MAX_PAIRS} fields")
         name_length, position = _decode_length(data, position)
         value_length, position = _decode_length(data, position)
         name_end = position + name_length
--- a/quartzrouter/server/listener.py
+++ b/quartzrouter/server/listener.py
@@ -6,17 +6,12 @@
 
 from quartzrouter.server.client_connections import ClientConnections
 from quartzrouter.server.rate_limited_log import RateLimitedLog
-from quartzrouter.server.stream import Stream
+from quartzrouter.server.stream import ACCEPT_RETRY_DELAY, accept_waiting
 
 BACKLOG = 1024  # connections that may wait to be accepted
 # Bytes in the socket's own receive buffer. All of them are read at once, so the size limits the memory that a
 # fast sender can fill.
 SOCKET_RECEIVE_BUFFER = 1 << 15
-# Connections accepted at one wake-up. Accepting one at a time would fall behind in a busy process. With more,
-# descriptors would run out, as connections that are closed to make room hold theirs until the next iteration
-# of the event loop.
-MAX_ACCEPTED_AT_ONCE = 8
-RETRY_DELAY = 0.05  # seconds after a failed accept
 
 
 class Listener:
@@ -89,7 +84,7 @@
                 self._accept_from(listening_socket)
             except OSError as error:
                 self._log.say("client", f"accept failed: {error}")
-                await anyio.sleep(RETRY_DELAY)
+                await anyio.sleep(ACCEPT_RETRY_DELAY)
 
     def _accept_from(self, listening_socket: socket.socket) -> bool:
         """Accepts the connections that wait at one socket, up to a limit.
@@ -97,20 +92,11 @@
         :returns: True if there were any.
         :raises OSError: if the system has no descriptors or memory left.
         """
-        for accepted_count in range(MAX_ACCEPTED_AT_ONCE):
-            try:
-                accepted, _ = listening_socket.accept()
-            except BlockingIOError:
-                return accepted_count > 0
-            try:
-                stream = Stream(accepted)
-            except OSError as error:  # for example, the connection has already ended
-                self._log.say("client", f"connection ended: {error}")
-                accepted.close()
-                continue
+        streams = accept_waiting(listening_socket)
+        for stream in streams:
             if self._clients.admit():
                 self._tasks.start_soon(self._clients.serve, stream)
             else:
                 stream.drain()
                 stream.close()
-        return True
+        return bool(streams)
--- a/quartzrouter/server/memory_budget.py
+++ b/quartzrouter/server/memory_budget.py
@@ -7,9 +7,8 @@
 STATM = Path("/proc/self/statm")  # sizes of this process in pages; the second one is its resident memory
 RESPONSES_DIVISOR = 8  # an eighth is for responses that their clients haven't received yet
 REQUESTS_DIVISOR = 8  # at most an eighth is for requests, with their parameters and bodies
-RESERVE_DIVISOR = (
-    8  # an eighth is for the decisions' tables, connections to caches, and gaps of the allocator
-)
+# An eighth is for the decisions' tables, connections to caches, and gaps of the allocator.
+RESERVE_DIVISOR = 8
 MIN_SHARE_DIVISOR = 32  # requests and connections get this part each, however little is left
 CONNECTION_MEMORY = 12 << 10  # bytes: a client's connection with its tasks; its data counts as requests
 
--- a/quartzrouter/server/state_machine.py
+++ b/quartzrouter/server/state_machine.py
@@ -11,7 +11,15 @@
 
 from quartzrouter.deployment_settings import BYTES_PER_KB
 from quartzrouter.routing.driver import MAINTENANCE_TIMER, RouterDriver
-from quartzrouter.routing.model import AttemptStatus, Endpoint, EndpointState, Forward, Idempotency, Request
+from quartzrouter.routing.model import (
+    AttemptStatus,
+    Endpoint,
+    EndpointState,
+    Forward,
+    Idempotency,
+    Request,
+    TrafficClass,
+)
 from quartzrouter.routing.router import Router
 from quartzrouter.server import cache_protocol, responses
 from quartzrouter.server.cache_protocol import HTTP_NOT_MODIFIED, HTTP_OK
@@ -270,14 +278,17 @@
             queueing_time=client_request.queueing_time,
         )
 
+    def _traffic_class(self, client_request: ClientRequest) -> TrafficClass:
+        """Returns the traffic class of a request."""
+        return self.router.traffic_classes[client_request.traffic_class]
+
     def _is_cacheable(self, client_request: ClientRequest) -> bool:
         """Returns True if caches keep copies of the object, so that responses tell the copy and its age."""
-        return not self.router.traffic_classes[client_request.traffic_class].uncacheable
+        return not self._traffic_class(client_request).uncacheable
 
     def _may_run_again(self, client_request: ClientRequest) -> bool:
         """Returns True if a second execution of the request has no effect."""
-        traffic_class = self.router.traffic_classes[client_request.traffic_class]
-        return traffic_class.idempotency is Idempotency.IDEMPOTENT
+        return self._traffic_class(client_request).idempotency is Idempotency.IDEMPOTENT
 
     def _extra_headers(self, client_request: ClientRequest) -> list[tuple[str, str]]:
         """Returns headers that are sent in addition to those of the platform's protocol."""
--- a/quartzrouter/server/stream.py
+++ b/quartzrouter/server/stream.py
@@ -14,6 +14,11 @@
 
 import anyio
 
+# Connections accepted at one wake-up. Accepting one at a time would fall behind in a busy process. With more,
+# descriptors would run out, as connections that are closed to make room hold theirs until the next iteration
+# of the event loop.
+MAX_ACCEPTED_AT_ONCE = 8
+ACCEPT_RETRY_DELAY = 0.05  # seconds after a failed accept
 MAX_DRAINED = 1 << 18  # bytes read and dropped before a close; more than a receive buffer holds here
 DRAIN_CHUNK = 1 << 14  # bytes per read
 
@@ -125,6 +130,28 @@
         self.raw.close()
 
 
+def accept_waiting(listening_socket: socket.socket) -> list[Stream]:
+    """Accepts the connections that wait at a socket, up to ``MAX_ACCEPTED_AT_ONCE``, without waiting.
+
+    :raises OSError: if the system has no descriptors or memory left, and none could be accepted.
+    """
+    streams: list[Stream] = []
+    while len(streams) < MAX_ACCEPTED_AT_ONCE:
+        try:
+            accepted, _ = listening_socket.accept()
+        except BlockingIOError:
+            break
+        except OSError:
+            if streams:
+                break
+            raise
+        try:
+            streams.append(Stream(accepted))
+        except OSError:  # the connection has already ended
+            accepted.close()
+    return streams
+
+
 async def connect(address: tuple[str, int]) -> Stream:
     """Opens a connection.
 
--- a/quartzrouter/standalone/state_machine.py
+++ b/quartzrouter/standalone/state_machine.py
@@ -36,7 +36,7 @@
 from quartzrouter.purges.replica import ApplyPurges, EndConnection, PurgeReplica, SendMessage
 from quartzrouter.quota.messages import QuotaRefusal
 from quartzrouter.routing import LOGGER_NAME
-from quartzrouter.routing.model import AttemptStatus, HealthObservation, Idempotency, Request
+from quartzrouter.routing.model import AttemptStatus, HealthObservation, Idempotency, Request, TrafficClass
 from quartzrouter.server import responses
 from quartzrouter.server.cache_protocol import HTTP_NOT_MODIFIED, HTTP_OK
 from quartzrouter.server.effects import Effect, SendResponse
@@ -250,16 +250,12 @@
             queueing_time=client_request.queueing_time,
         )
 
-    def _is_cacheable(self, client_request: ClientRequest) -> bool:
-        """Returns True if caches keep copies, by the configuration under which the request was routed.
+    def _traffic_class(self, client_request: ClientRequest) -> TrafficClass:
+        """Returns the traffic class by the configuration under which the request was routed.
 
         The configuration may have been replaced since.
         """
-        return not client_request.route_selection.traffic_class.uncacheable
-
-    def _may_run_again(self, client_request: ClientRequest) -> bool:
-        """Returns True if a second execution has no effect, by the configuration of the request's route."""
-        return client_request.route_selection.traffic_class.idempotency is Idempotency.IDEMPOTENT
+        return client_request.route_selection.traffic_class
 
     def _extra_headers(self, client_request: ClientRequest) -> list[tuple[str, str]]:
         return [("X-Path", client_request.route_selection.path)]
