--- a/quartzrouter/server/client_connection.py
+++ b/quartzrouter/server/client_connection.py
@@ -404,6 +404,16 @@
         self._connections.open.discard(self)
         return True
 
+    @property
+    def is_flooding_after_end(self) -> bool:
+        """Returns True if all responses are written, and the client has sent much more than it should."""
+        return self.responses_ended and self.ignored_bytes > MAX_IGNORED_BYTES
+
+    def close_now(self) -> None:
+        """Closes the connection, although data may still be unread."""
+        self.scope.cancel()
+        self._connections.open.discard(self)
+
     def abandon_requests(self) -> None:
         """Drops all requests of a client that has gone, and releases their memory."""
         self._connections.free_request_memory += sum(incoming.size for incoming in self.incoming.values())
--- a/quartzrouter/server/client_connections.py
+++ b/quartzrouter/server/client_connections.py
@@ -125,7 +125,7 @@
         tasks.cancel_scope.cancel()
 
     def _close_one_idle(self) -> bool:
-        """Closes one idle connection that has no unread data.
+        """Closes one idle connection that has no unread data, or one that only its client's flood keeps open.
 
         Prefers a connection that its client has closed, then one that has never sent a request, then the one
         that has been inactive for longest. Guards against a lost request: a busy process hasn't read all data
@@ -133,6 +133,10 @@
 
         :returns: True if one was closed.
         """
+        for client in self.open:
+            if client.is_flooding_after_end:
+                client.close_now()
+                return True
         grace_start = anyio.current_time() - FIRST_REQUEST_GRACE
 
         def closing_order(client: ClientConnection) -> tuple[bool, float]:
