A grant of sending time has one owner; the pools' routers get and return values

Seen: the operators' engineers read in routing/router.py that the routers of one process change one table together. It is so for the routers of a plan's pools: share_slow_start_grants() gave each the table SlowStartClient.sending_time_left, "kept and modified, not copied". Callers saw no harm by it: three pools sent 15 of 15 requests on a grant of 6 s, evenly and all from one pool. Routers of different machines have a process each and never shared it.

Cause: one grant serves all pools of a process, and the pools' routers booked what they used in its owner's table.

Change: SlowStartClient alone keeps grants. For the time of a decision the request's router is told what is left (set_slow_start_grants(), copied) and afterwards gives up the rest and returns what it has used, as GrantCharge values (return_slow_start_grants()), also where the decision raises. Between decisions no router has any grant. refresh() and the client's second copy of the table are gone. Two tests that wrote into the table call spend().

Evidence: test_pool_routers_share_no_mutable_object walks all that four pools' routers and the client reach.

--- a/quartzrouter/pool_routing/multi_pool_router.py
+++ b/quartzrouter/pool_routing/multi_pool_router.py
@@ -145,8 +145,6 @@
         arguments = self.router_arguments | {"traffic_classes": list(self.traffic_classes.values())}
         router = Router(**arguments)
         router.copy_purges_from(self.freshness)
-        if self.slow_start_client:
-            router.share_slow_start_grants(self.slow_start_client.sending_time_left)
         return router
 
     def _share_budgets(self, pool_router: PoolRouter, pool_count: int) -> None:
@@ -269,10 +267,25 @@
     def _decide(
         self, request_id: int, may_retry: bool, call_router: Callable[[Router], Decision | None], now: int
     ) -> Decision | None:
-        """Asks a request's router for a decision, with the current shared grants and limits on retries."""
+        """Asks a request's router for a decision, with the sending time that is granted to this process.
+
+        Guards against sending more than was granted to an endpoint in slow start: the routers of all pools
+        use the same grants, so each has them for the time of its decision only.
+        """
+        if not self.slow_start_client:
+            return self._decide_within_limits(request_id, may_retry, call_router, now)
+        router = self.routers_by_request[request_id].router
+        router.set_slow_start_grants(self.slow_start_client.sending_time_left())
+        try:
+            return self._decide_within_limits(request_id, may_retry, call_router, now)
+        finally:
+            self.slow_start_client.spend(router.return_slow_start_grants())
+
+    def _decide_within_limits(
+        self, request_id: int, may_retry: bool, call_router: Callable[[Router], Decision | None], now: int
+    ) -> Decision | None:
+        """Asks a request's router for a decision, with the current limits on retries."""
         router, selection = self.routers_by_request[request_id].router, self.selections_by_request[request_id]
-        if self.slow_start_client:
-            self.slow_start_client.refresh()
         limits = self.retry_limits.get(selection.route.name) if may_retry else None
         if not limits:
             return call_router(router)
--- a/quartzrouter/quota/slow_start_client.py
+++ b/quartzrouter/quota/slow_start_client.py
@@ -1,7 +1,7 @@
 """A router's part in slow start: requests and uses sending time at starting endpoints. No I/O."""
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -12,7 +12,7 @@
     SlowStartRequest,
     SlowStartTerms,
 )
-from quartzrouter.routing.model import SlowStartDemand
+from quartzrouter.routing.model import GrantCharge, SlowStartDemand
 
 # Unanswered requests that are kept per endpoint; the grant of an older one has expired.
 MAX_PENDING_REQUESTS = 64
@@ -86,7 +86,7 @@
 
 
 class SlowStartClient:
-    """A router's sending time at all starting endpoints.
+    """A router's sending time at all starting endpoints; the only owner of its grants.
 
     :param terms: terms by tier.
     :param steady_clock: returns the time of this machine's monotonic clock in microseconds. It is read for
@@ -97,34 +97,30 @@
         self.terms = dict(terms)
         self.steady_clock = steady_clock
         self.allowances: dict[str, EndpointAllowance] = {}
-        # Microseconds by endpoint.  Routing decisions subtract what they use, and refresh() deducts that from
-        # the grants.
-        self.sending_time_left: dict[str, int] = {}
-        self.sending_time_at_refresh: dict[str, int] = {}
         self.last_sequence_number = 0
         self.invalid_grants = 0
 
-    def refresh(self) -> None:
-        """Updates the sending time left, without expired grants; to be called before each decision."""
-        if self.allowances or self.sending_time_left:
-            self._subtract_used()
-            self._update_sending_time_left(self.steady_clock())
+    def sending_time_left(self) -> dict[str, int]:
+        """Returns the unused sending time of grants that have not expired.
 
-    def _subtract_used(self) -> None:
-        """Subtracts the sending time used since the last refresh from the grants."""
-        for endpoint, before in self.sending_time_at_refresh.items():
-            allowance = self.allowances.get(endpoint)
-            if allowance:
-                allowance.spend(before - self.sending_time_left.get(endpoint, 0))
-        self.sending_time_at_refresh = {}
-
-    def _update_sending_time_left(self, now: int) -> None:
-        self.sending_time_left.clear()
+        :returns: a new dictionary of microseconds by endpoint; endpoints without any are missing.
+        """
+        if not self.allowances:
+            return {}
+        now = self.steady_clock()
+        left = {}
         for endpoint, allowance in self.allowances.items():
             allowance.drop_expired(now)
             if allowance.grants:
-                self.sending_time_left[endpoint] = sum(grant.sending_time for grant in allowance.grants)
-        self.sending_time_at_refresh = dict(self.sending_time_left)
+                left[endpoint] = sum(grant.sending_time for grant in allowance.grants)
+        return left
+
+    def spend(self, charges: Iterable[GrantCharge]) -> None:
+        """Subtracts the sending time that requests have used from the grants."""
+        for charge in charges:
+            allowance = self.allowances.get(charge.endpoint)
+            if allowance:
+                allowance.spend(charge.sending_time)
 
     def due_requests(self, demands: Sequence[SlowStartDemand]) -> tuple[SlowStartRequest, ...]:
         """Returns the requests to send now.
@@ -134,7 +130,7 @@
         now = self.steady_clock()
         demand_by_endpoint = {demand.endpoint: demand for demand in demands}
         self._keep_only(demand_by_endpoint)
-        self.refresh()
+        left = self.sending_time_left()
         requests = []
         for endpoint, demand in demand_by_endpoint.items():
             terms = self.terms.get(demand.tier.value)
@@ -147,7 +143,7 @@
                 self.allowances[endpoint] = allowance
             allowance.measure(demand, terms.window, now)
             if allowance.needs_request:
-                requests.append(self._request(allowance, demand, terms, now))
+                requests.append(self._request(allowance, demand, terms, left.get(endpoint, 0), now))
         return tuple(requests[:MAX_REQUESTS_PER_MESSAGE])
 
     def _keep_only(self, endpoints: dict[str, SlowStartDemand]) -> None:
@@ -156,7 +152,12 @@
             del self.allowances[endpoint]
 
     def _request(
-        self, allowance: EndpointAllowance, demand: SlowStartDemand, terms: SlowStartTerms, now: int
+        self,
+        allowance: EndpointAllowance,
+        demand: SlowStartDemand,
+        terms: SlowStartTerms,
+        sending_time_left: int,
+        now: int,
     ) -> SlowStartRequest:
         self.last_sequence_number += 1
         pending = allowance.pending_requests
@@ -171,7 +172,7 @@
             sequence_number=self.last_sequence_number,
             limit=min(MAX_SENDING_TIME, demand.limit),
             wanted=min(MAX_SENDING_TIME, max(allowance.request_time, int(allowance.wanted))),
-            sending_time_left=self.sending_time_left.get(demand.endpoint, 0),
+            sending_time_left=sending_time_left,
             request_time=allowance.request_time,
             terms_checksum=terms.terms_checksum,
             returned=returned,
@@ -182,7 +183,6 @@
 
         Duplicated and foreign grants are ignored: a grant counts only if its request is pending.
         """
-        self.refresh()
         now = self.steady_clock()
         for grant in grants:
             allowance = self.allowances.get(grant.endpoint)
@@ -196,7 +196,6 @@
             expires_at = self.terms[allowance.tier].grant_expiry(requested_at)
             if grant.sending_time and expires_at > now:
                 allowance.grants.append(SendingTimeGrant(expires_at, grant.sending_time))
-        self._update_sending_time_left(now)
 
     def request_interval(self) -> int | None:
         """Returns the microseconds until the next check for demand, or None if no slow start is shared."""
--- a/quartzrouter/routing/model.py
+++ b/quartzrouter/routing/model.py
@@ -277,6 +277,18 @@
     largest_request: int
 
 
+@dataclass(frozen=True, slots=True)
+class GrantCharge:
+    """Sending time that a request has used of what was granted to its router at an endpoint in slow start.
+
+    :ivar endpoint: the endpoint's name.
+    :ivar sending_time: the request's sending time, in microseconds.
+    """
+
+    endpoint: str
+    sending_time: int
+
+
 # -- decisions ------------------------------------------------------------------------------------------
 
 
--- a/quartzrouter/routing/router.py
+++ b/quartzrouter/routing/router.py
@@ -1,8 +1,11 @@
 """The router, which decides on each request in a fixed order of steps.  No I/O.
 
-There is one ``Router`` per router instance.  Its driver calls ``route()`` for each new and each deferred
-request, ``attempt_finished()`` after each attempt, and ``maintenance()`` periodically.  It carries out the
-decisions that these return, and reports endpoint lists, purges, health checks and clients that have left.
+There is one ``Router`` per router instance, or one per pool under a plan.  No two routers share an object
+that can change, also in one process: they get values and return values.
+
+A router's driver calls ``route()`` for each new and each deferred request, ``attempt_finished()`` after each
+attempt, and ``maintenance()`` periodically.  It carries out the decisions that these return, and reports
+endpoint lists, purges, health checks and clients that have left.
 Each rule is in a module of its own; see docs/design.md.
 """
 
@@ -30,6 +33,7 @@
     Decision,
     Endpoint,
     Fail,
+    GrantCharge,
     HealthObservation,
     LoadReport,
     MaintenanceActions,
@@ -349,7 +353,7 @@
         """Returns what this router's own requests show about each cache."""
         return self.health.observations(self.load.in_flight, now)
 
-    # -- several routers in one process --------------------------------------------------------------------
+    # -- the router of one pool, beside those of other pools -----------------------------------------------
 
     def set_locations(self, locations: tuple[str, ...]) -> None:
         """Sets the locations whose caches are used, effective from the next endpoint list."""
@@ -381,12 +385,19 @@
         """
         self.slow_start.budgets[tier].share(routers, guaranteed_share)
 
-    def share_slow_start_grants(self, granted: dict[str, int]) -> None:
-        """Shares grants with other routers: each router subtracts what it uses.
+    def set_slow_start_grants(self, granted: Mapping[str, int]) -> None:
+        """Sets the sending time that requests may use beyond this router's own part of the budgets.
+
+        :param granted: microseconds by endpoint name, which are copied.
+        """
+        self.slow_start.set_grants(granted)
+
+    def return_slow_start_grants(self) -> tuple[GrantCharge, ...]:
+        """Gives up the granted sending time, so that another router may use the rest of it.
 
-        :param granted: sending time by endpoint; the dictionary is kept and modified, not copied.
+        :returns: what requests have used of it; empty if none has used any.
         """
-        self.slow_start.granted = granted
+        return self.slow_start.return_grants()
 
     def exhaust_slow_start(self, now: int) -> None:
         """Treats all slow-start budgets as spent for one window."""
--- a/quartzrouter/routing/slow_start.py
+++ b/quartzrouter/routing/slow_start.py
@@ -11,11 +11,12 @@
 import math
 import zlib
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import replace
 
 from quartzrouter.routing.capacity import TransferCapacity
 from quartzrouter.routing.endpoints import EndpointList
-from quartzrouter.routing.model import SlowStart, SlowStartDemand, Tier
+from quartzrouter.routing.model import GrantCharge, SlowStart, SlowStartDemand, Tier
 from quartzrouter.routing.units import NEVER
 
 # Share of an endpoint's budget, from 0 to 1, that all routers together spend at most.  The rest is a margin,
@@ -154,7 +155,9 @@
 class SlowStartLimiter:
     """Applies the budgets of caches and parents; origins have none.
 
-    :ivar granted: sending time that was granted to this router beyond its own part, by endpoint name.
+    :ivar granted: sending time that requests may use beyond this router's own part, by endpoint name; below 0
+        where more was used than granted.
+    :ivar grant_charges: what requests have used of it since it was set.
     """
 
     def __init__(
@@ -168,6 +171,18 @@
         self.capacity = capacity
         self.budgets = {Tier.CACHE: cache_budget, Tier.PARENT: parent_budget}
         self.granted: dict[str, int] = {}
+        self.grant_charges: list[GrantCharge] = []
+
+    def set_grants(self, granted: Mapping[str, int]) -> None:
+        """Replaces the granted sending time by a copy of the given one, in microseconds by endpoint name."""
+        self.granted = dict(granted)
+
+    def return_grants(self) -> tuple[GrantCharge, ...]:
+        """Gives up the granted sending time, and returns what requests have used of it."""
+        charges = tuple(self.grant_charges)
+        self.granted.clear()
+        self.grant_charges.clear()
+        return charges
 
     def allows(self, index: int, sending_time: int, now: int) -> bool:
         """Returns True if an endpoint may receive one more request of this sending time."""
@@ -189,6 +204,7 @@
         if self._allows_without_grant(budget, index, sending_time, now):
             return budget.charge(index, sending_time, now)
         self.granted[endpoint.name] = self.granted.get(endpoint.name, 0) - sending_time
+        self.grant_charges.append(GrantCharge(endpoint.name, sending_time))
         return Charge(now, sending_time)
 
     def record_unmet_demand(self, tier: Tier, order: list[int], sending_time: int, now: int) -> None:
--- /dev/null
+++ b/tests/test_shared_state.py
@@ -0,0 +1,142 @@
+"""Routers in one process share no mutable object, and the pools of one router keep to its grants together."""
+
+import json
+
+import pytest
+from conftest import MS, S
+from object_graph import common_mutable_objects
+from test_drill import START, answer, demand
+from test_pool_routing import PlanScenario
+
+from quartzrouter.drill.host import SimulatorHost
+from quartzrouter.quota.slow_start_client import SlowStartClient
+from quartzrouter.quota.slow_start_messages import SlowStartGrant, SlowStartTerms
+from quartzrouter.routing.model import AttemptStatus, Endpoint, EndpointState, Forward, SlowStartDemand, Tier
+
+REQUEST_TIME = 400 * MS  # charged for each request, as there are no samples of sending times
+GRANT = 6 * S  # of sending time
+TERMS = SlowStartTerms(window=S, guaranteed_share=0.0, routers=8, grant_ttl=10 * S)
+PLAN = """{
+  deployment: { name: "t", home: "north" },
+  stores: { north: { hub: "h" } }, hubs: { h: {} },
+  caches: {
+    n1: { address: "127.0.0.1:1", at: "north", weight: 6 },
+    n2: { address: "127.0.0.1:2", at: "north", weight: 6 },
+    p: { address: "127.0.2.1:1", at: "h", tier: "parent", weight: 20 },
+    o: { address: "127.0.3.1:1", at: "h", tier: "origin", weight: 8 },
+  },
+  vhosts: { page: { effect: "replayable", client_timeout: 3s, first_byte_target: 400ms, fresh_for: 8s } },
+  pools: { a: {}, b: {}, c: {} },
+  routes: {
+    ["to_${name}"]: { match: { path: "/${name}/**" }, vhost: "page", pool: name } for name in ["a", "b", "c"]
+  },
+}"""
+
+
+class PoolsScenario(PlanScenario):
+    """Three pools with the same caches, of which n1 is in slow start and n2 is listed only if asked for."""
+
+    def __init__(self, lists_both=False):
+        super().__init__(PLAN)
+        self.router = type(self.router)(
+            self.plan,
+            self.router.router_arguments,
+            slow_start_client=SlowStartClient({"cache": TERMS}, lambda: self.now),
+        )
+        endpoints = [
+            Endpoint("n1", "north", Tier.CACHE, "cache", 0, EndpointState.UP, 6, started_at=self.now),
+            Endpoint("p", "h", Tier.PARENT, "parent", 0, EndpointState.UP, 20, 0),
+            Endpoint("o", "h", Tier.ORIGIN, "origin", 0, EndpointState.UP, 8, 0),
+        ]
+        if lists_both:
+            endpoints.append(Endpoint("n2", "north", Tier.CACHE, "cache", 0, EndpointState.UP, 6, 0))
+        self.router.update_endpoints(endpoints, True, self.now)
+
+    @property
+    def client(self):
+        return self.router.slow_start_client
+
+    def grant(self, sending_time):
+        """Requests and applies a grant for n1."""
+        demands = [SlowStartDemand("n1", Tier.CACHE, 10 * S, sending_time, REQUEST_TIME)]
+        requests = self.client.due_requests(demands)
+        self.client.apply_grants(
+            [SlowStartGrant("n1", request.sequence_number, sending_time) for request in requests]
+        )
+
+    def send(self, pools, count):
+        """Sends requests to the pools in turn, and returns how many were forwarded to n1."""
+        decisions = [self.request(f"/{pools[number % len(pools)]}/{number}") for number in range(count)]
+        return sum(isinstance(each, Forward) and each.endpoint == "n1" for each in decisions)
+
+    def pool_routers(self):
+        return [*self.router.pool_routers.values(), *self.router.draining_pool_routers]
+
+
+# -- the pools of one router ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("pools", ["abc", "a"])
+def test_pools_together_send_what_one_grant_allows(pools):
+    """With a copy of the grant for each pool, three pools together sent 45 requests."""
+    scenario = PoolsScenario()
+    assert scenario.send(pools, 9) == 0
+    scenario.grant(GRANT)
+    assert scenario.send(pools, 300) == GRANT // REQUEST_TIME == 15
+    assert scenario.send(pools, 9) == 0
+
+
+def test_pool_routers_share_no_mutable_object():
+    """The pools of one process changed one table of granted sending time together."""
+    scenario = PoolsScenario(lists_both=True)
+    router, now = scenario.router, scenario.now
+    scenario.grant(GRANT)
+    assert scenario.send("abc", 60)
+    for request_id in list(scenario.attempt_numbers):
+        failed = request_id % 5 == 0
+        scenario.finish(AttemptStatus.CONNECTION_LOST if failed else AttemptStatus.SUCCEEDED, request_id)
+    router.set_fleet_load({"n1": 4, "n2": 2}, {"n1": 1}, now)
+    router.set_ejected_by_peers({"n2": now + S}, now)
+    router.record_purge(7, None, 0, now)
+    router.record_purge(None, "0f" * 8, 0, now)
+    router.record_health_check("n1", AttemptStatus.SUCCEEDED, now)
+    router.maintenance(now)
+    assert router.slow_start_demand(now) and router.health_observations(now)
+    scenario.request("/a/in-flight")
+    plan = PLAN.replace("pools: { a: {},", "pools: { d: {},").replace('["a", "b"', '["d", "b"')
+    router.replace(scenario.load(plan), now)
+    scenario.send("dbc", 30)
+    assert len(scenario.pool_routers()) == 4
+    parties = [*scenario.pool_routers(), scenario.client]
+    assert common_mutable_objects(parties, known=[scenario]) == []  # the client's clock is the scenario's
+
+
+def test_what_a_failed_decision_has_used_counts(monkeypatch):
+    """The request is forwarded to n1, and then an error ends the decision."""
+    scenario = PoolsScenario()
+    scenario.grant(GRANT)
+    router = scenario.router.pool_routers["a"].router
+    start = router.attempts.start
+
+    def start_and_fail(*arguments):
+        start(*arguments)
+        raise RuntimeError("a fault in a decision")
+
+    monkeypatch.setattr(router.attempts, "start", start_and_fail)
+    with pytest.raises(RuntimeError):
+        scenario.request("/a/1")
+    assert scenario.send("bc", 300) == GRANT // REQUEST_TIME - 1
+
+
+# -- routers of several machines in one process --------------------------------------------------------------
+
+
+def test_routers_in_the_simulators_adapter_share_no_mutable_object():
+    host, names = SimulatorHost(), [f"router/{number}" for number in range(4)]
+    started = [{"router": name} | event for name in names for event in START]
+    requested = [{"router": name} | demand(number) for number, name in enumerate(names)]
+    answered = [{"router": name} | answer(number, "success", ended=True) for number, name in enumerate(names)]
+    for now, events in enumerate([started, requested, answered], 1):
+        host.process_batch(now * S, [json.loads(json.dumps(event)) for event in events])
+    assert len(host.instances) == 4
+    assert common_mutable_objects(list(host.instances.values())) == []
--- a/tests/test_slow_start_quota.py
+++ b/tests/test_slow_start_quota.py
@@ -12,7 +12,7 @@
 from quartzrouter.quota.slow_start_allocator import EndpointAccount, SlowStartAllocator
 from quartzrouter.quota.slow_start_client import SlowStartClient
 from quartzrouter.quota.slow_start_messages import SlowStartGrant, SlowStartRequest, SlowStartTerms
-from quartzrouter.routing.model import SlowStartDemand, Tier
+from quartzrouter.routing.model import GrantCharge, SlowStartDemand, Tier
 
 MILLISECOND = 1_000  # microseconds
 TERMS = SlowStartTerms(window=SECOND, guaranteed_share=0.2, routers=8, grant_ttl=500 * MILLISECOND)
@@ -189,13 +189,11 @@
     (slow_start_request,) = client.due_requests(demand_of(2 * REQUEST_TIME))
     clock.now += 300 * MILLISECOND
     client.apply_grants([SlowStartGrant("n0", slow_start_request.sequence_number, 2 * REQUEST_TIME)])
-    assert client.sending_time_left == {"n0": 2 * REQUEST_TIME}
-    client.sending_time_left["n0"] -= REQUEST_TIME  # as the routing decisions do
-    client.refresh()
-    assert client.sending_time_left == {"n0": REQUEST_TIME}
+    assert client.sending_time_left() == {"n0": 2 * REQUEST_TIME}
+    client.spend([GrantCharge("n0", REQUEST_TIME)])
+    assert client.sending_time_left() == {"n0": REQUEST_TIME}
     clock.now += 200 * MILLISECOND
-    client.refresh()
-    assert client.sending_time_left == {}
+    assert client.sending_time_left() == {}
 
 
 def test_a_grant_counts_once_and_only_for_its_request():
@@ -207,9 +205,9 @@
     unasked = SlowStartGrant("n0", 99, REQUEST_TIME)
     elsewhere = SlowStartGrant("n9", slow_start_request.sequence_number, REQUEST_TIME)
     client.apply_grants([grant, grant, unasked, elsewhere])
-    assert client.sending_time_left == {"n0": REQUEST_TIME} and client.invalid_grants == 3
+    assert client.sending_time_left() == {"n0": REQUEST_TIME} and client.invalid_grants == 3
     assert client.due_requests([]) == ()  # the endpoint has warmed up
-    assert client.sending_time_left == {} and not client.allowances
+    assert client.sending_time_left() == {} and not client.allowances
 
 
 def test_nothing_is_requested_once_demand_has_ended():
@@ -352,7 +350,6 @@
         arrived = self.demand[router] * self.STEP / SECOND * rng.choice((0, 0, 0, 4))
         self.waiting_requests[router] += arrived
         client = self.clients[router]
-        client.refresh()
         if rng.random() < 0.03:
             self.paused_until[router] = self.now + rng.choice((100, 300, 460, 700)) * MILLISECOND
         spent = self._spend(router, client) if self.now >= self.paused_until[router] else 0
@@ -365,8 +362,8 @@
     def _spend(self, router, client):
         """Sends all waiting requests that grants admit, and returns their sending time."""
         spent = 0
-        while self.waiting_requests[router] >= 1 and client.sending_time_left.get("n0", 0) >= REQUEST_TIME:
-            client.sending_time_left["n0"] -= REQUEST_TIME
+        while self.waiting_requests[router] >= 1 and client.sending_time_left().get("n0", 0) >= REQUEST_TIME:
+            client.spend([GrantCharge("n0", REQUEST_TIME)])
             self.waiting_requests[router] -= 1
             spent += REQUEST_TIME
             self.spent.append(SpentTime(self.now, REQUEST_TIME))
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -2,7 +2,7 @@
 
 from conftest import RouterScenario
 
-from quartzrouter.routing.model import Forward, Tier
+from quartzrouter.routing.model import Forward, GrantCharge, Tier
 
 MS, S = 1_000, 1_000_000
 
@@ -22,7 +22,7 @@
         router.share_slow_start(Tier.CACHE, routers=30, guaranteed_share=0.2)
         for index in router.endpoints.by_tier[Tier.CACHE]:
             router.endpoints.started_at[index] = scenario.now
-        router.share_slow_start_grants(dict(granted))
+        router.set_slow_start_grants(granted)
         router.set_fleet_load({}, scenario.now)  # other routers have no requests in flight
         decisions = [scenario.request(n, "page", f"obj-{n}", quiet=True) for n in range(8)]
         return [
@@ -33,6 +33,8 @@
     caches, router = sent_with({"c1": 900 * MS})
     # Each request is charged with 400 ms.
     assert set(caches) == {"c1"} and len(caches) == 2 and router.slow_start.granted["c1"] == 100 * MS
+    assert router.return_slow_start_grants() == (GrantCharge("c1", 400 * MS),) * 2
+    assert router.slow_start.granted == {} and router.return_slow_start_grants() == ()
     demands = {each.endpoint: each for each in router.slow_start_demand(10 * S)}
     assert set(demands) == {"c1", "c2", "c3"} and any(
         each.demand >= each.largest_request > 0 for each in demands.values()
