Plans that are parsed at once keep their own places and comments

A process parses one plan at a time today; two routers in one process that reload together don't.

Cause: config/parser.py had one tree builder for all files, and wrote the file, the offset and the comments into it.

Change: what belongs to the file is a FileBeingParsed in a context variable, of which each thread has its own; the builder has no state. A line's number in the file is computed in one place.

--- a/quartzrouter/config/parser.py
+++ b/quartzrouter/config/parser.py
@@ -1,6 +1,7 @@
 """Parses the text of a plan with ``grammar.lark``: the result is a syntax tree, or one PlanError."""
 
-from dataclasses import dataclass
+from contextvars import ContextVar
+from dataclasses import dataclass, field
 from functools import cache
 from importlib import resources
 
@@ -45,8 +46,26 @@
     comments: list[Token]
 
 
+@dataclass
+class FileBeingParsed:
+    """What is known while a file is parsed.
+
+    :ivar offset: lines and columns before the text that is parsed; not 0 for an expression in `${...}`.
+    :ivar comments: those found so far.
+    """
+
+    source: Source
+    offset: tuple[int, int] = (0, 0)
+    comments: list[Token] = field(default_factory=list)
+
+
+# Guards against places and comments of another file: all threads use one parser, and each has a context of
+# its own, so that two of them may parse at once.
+_file_being_parsed: ContextVar[FileBeingParsed] = ContextVar("file_being_parsed")
+
+
 class TreeBuilder(Transformer):
-    """Builds the nodes while the parser runs.
+    """Builds the nodes while the parser runs; has no state of its own.
 
     The parser calls the method named after each rule of the grammar with the rule's nodes and all its tokens,
     so that the place of every node is known.
@@ -54,17 +73,18 @@
 
     def __init__(self) -> None:
         super().__init__(visit_tokens=False)
-        self.source = Source("", "")
-        # lines and columns before the text that is parsed; not 0 for an expression in `${...}`
-        self.offset = (0, 0)
-        self.comments: list[Token] = []
 
     # -- places ------------------------------------------------------------------------------------
 
     def place_of(self, token: Token) -> Place:
         """Returns the place at which a token begins."""
-        lines, columns = self.offset
-        return Place(self.source, token.line + lines, token.column + (columns if token.line == 1 else 0))
+        file = _file_being_parsed.get()
+        lines, columns = file.offset
+        return Place(file.source, token.line + lines, token.column + (columns if token.line == 1 else 0))
+
+    def line_of(self, token: Token) -> int:
+        """Returns the line of the file in which a token begins."""
+        return token.line + _file_being_parsed.get().offset[0]
 
     def first_place(self, children: list) -> Place:
         """Returns the place at which a rule begins."""
@@ -93,7 +113,7 @@
                 )
             )
         last = children[-1]
-        end_line = last.end_line if isinstance(last, syntax_tree.Node) else last.line + self.offset[0]
+        end_line = last.end_line if isinstance(last, syntax_tree.Node) else self.line_of(last)
         return node_type(place, *values, **fields, depth=depth, end_line=end_line)
 
     def error(self, token: Token, reason: str, remedy: str = "", code: str = "syntax") -> PlanError:
@@ -170,14 +190,15 @@
         :param column: the columns from the start of the token to the expression.
         """
         place = self.place_of(token)
-        before = self.offset
-        self.offset = (place.line - 1, place.column - 1 + column)
+        file = _file_being_parsed.get()
+        before = file.offset
+        file.offset = (place.line - 1, place.column - 1 + column)
         try:
             return parser().parse(text)
         except (UnexpectedCharacters, UnexpectedToken, UnexpectedEOF):
             raise self.error(token, f"'${{{text}}}' isn't a valid expression") from None
         finally:
-            self.offset = before
+            file.offset = before
 
     # -- expressions ---------------------------------------------------------------------------------
 
@@ -230,7 +251,7 @@
 
     def local_function(self, children):
         node = self._function(children[:-1])
-        node.end_line = children[-1].line + self.offset[0]
+        node.end_line = self.line_of(children[-1])
         return node
 
     def entry_local(self, children):
@@ -269,7 +290,7 @@
 
     def group(self, children):
         inner = children[1]
-        inner.end_line = children[2].line + self.offset[0]
+        inner.end_line = self.line_of(children[2])
         return inner
 
     def items(self, children):
@@ -299,8 +320,8 @@
     def _is_multiline(self, children) -> bool:
         """Returns True if the first item or entry begins on a line below the bracket."""
         first = children[1]
-        line = first.place.line if isinstance(first, syntax_tree.Node) else first.line + self.offset[0]
-        return line > children[0].line + self.offset[0]
+        line = first.place.line if isinstance(first, syntax_tree.Node) else self.line_of(first)
+        return line > self.line_of(children[0])
 
     def _field(self, children, merge_mode):
         key, value = children[-3], children[-1]
@@ -331,17 +352,15 @@
         return self.place_of(children[0]), children[1]
 
 
-TREE_BUILDER = TreeBuilder()
-
-
 @cache
 def parser() -> Lark:
+    """Returns the parser of the grammar, which has no state between two files."""
     grammar = resources.files("quartzrouter.config").joinpath("grammar.lark").read_text()
     return Lark(
         grammar,
         parser="lalr",
         lexer="contextual",
-        transformer=TREE_BUILDER,
+        transformer=TreeBuilder(),
         keep_all_tokens=True,
         maybe_placeholders=False,
         lexer_callbacks={"COMMENT": _collect_comment},
@@ -349,26 +368,33 @@
 
 
 def _collect_comment(token: Token) -> Token:
-    TREE_BUILDER.comments.append(token)
+    _file_being_parsed.get().comments.append(token)
     return token
 
 
 def parse(source: Source) -> Parsed:
     """Returns the syntax tree of a file; raises PlanError with the first fault."""
-    parser()
-    TREE_BUILDER.source, TREE_BUILDER.offset, TREE_BUILDER.comments = source, (0, 0), []
+    file = FileBeingParsed(source)
+    outer_file = _file_being_parsed.set(file)
+    try:
+        return Parsed(source, _parse(source), file.comments)
+    finally:
+        _file_being_parsed.reset(outer_file)
+
+
+def _parse(source: Source) -> syntax_tree.Node:
+    """Returns the root of the syntax tree."""
     start = Place(source, 1, 1)
     if len(source.text.encode(errors="replace")) > MAX_FILE_BYTES:
         raise PlanError(
             Fault(start, f"a file of more than {MAX_FILE_BYTES >> 20} MiB", "split it", code="size")
         )
     try:
-        root = parser().parse(source.text)
+        return parser().parse(source.text)
     except UnexpectedToken as error:
         raise PlanError(_syntax_fault(source, error)) from None
     except UnexpectedCharacters as error:
         raise PlanError(_lexical_fault(source, error)) from None
-    return Parsed(source, root, TREE_BUILDER.comments)
 
 
 def _lexical_fault(source: Source, error: UnexpectedCharacters) -> Fault:
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -1,6 +1,8 @@
 """Routers in one process share no mutable object, and the pools of one router keep to its grants together."""
 
 import json
+import sys
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from conftest import MS, S
@@ -8,6 +10,8 @@
 from test_drill import START, answer, demand
 from test_pool_routing import PlanScenario
 
+from quartzrouter.config.parser import parse
+from quartzrouter.config.problems import PlanError, Source
 from quartzrouter.drill.host import SimulatorHost
 from quartzrouter.quota.slow_start_client import SlowStartClient
 from quartzrouter.quota.slow_start_messages import SlowStartGrant, SlowStartTerms
@@ -140,3 +144,34 @@
         host.process_batch(now * S, [json.loads(json.dumps(event)) for event in events])
     assert len(host.instances) == 4
     assert common_mutable_objects(list(host.instances.values())) == []
+
+
+@pytest.fixture
+def frequent_thread_switches():
+    interval = sys.getswitchinterval()
+    sys.setswitchinterval(1e-5)  # seconds
+    yield
+    sys.setswitchinterval(interval)
+
+
+def test_plans_that_are_parsed_at_once_keep_their_own_places_and_comments(frequent_thread_switches):
+    """All files had one tree builder: a router that reloads its plan got lines and comments of another's."""
+    lines = 60
+
+    def parse_often(name):
+        parsed = []
+        for _ in range(10):
+            fields = "".join(f'  f{number}: "${{{number} + 1}}",  // {name}\n' for number in range(lines))
+            whole = parse(Source(name, f"{{\n{fields}}}"))
+            with pytest.raises(PlanError) as broken:
+                parse(Source(name, f"{{\n{fields}}} }}"))
+            parsed.append((whole, broken.value.fault))
+        return parsed
+
+    names = ["north", "south"]
+    with ThreadPoolExecutor(len(names)) as threads:
+        results = list(threads.map(parse_often, names))
+    for name, parsed in zip(names, results, strict=True):
+        for whole, fault in parsed:
+            assert whole.root.place.source.name == fault.place.source.name == name
+            assert [str(comment) for comment in whole.comments] == [f"// {name}"] * lines
