Simulated caches look up each purge in an index of their own

Seen while looking for what parties of one process share: the caches of a simulated fleet stand for machines of their own, and looked up a purge in one PurgeIndex, which lru_cache handed to all of them.

Cause: fakes/caches.py cached the result of _single_purge(), an object that can change.

Change: each cache builds the index of each purge that it gets.

--- a/quartzrouter/fakes/caches.py
+++ b/quartzrouter/fakes/caches.py
@@ -8,7 +8,6 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from functools import lru_cache
 from typing import NamedTuple
 
 import anyio
@@ -275,9 +274,8 @@
         }
 
 
-@lru_cache(1_024)
 def _single_purge(kind: str, values: tuple[str, ...], vhost: str) -> PurgeIndex:
-    """Returns an index with one purge, to look up what the purge matches."""
+    """Returns a new index with one purge, to look up what the purge matches."""
     index = PurgeIndex(1 << 50, 1_000)
     index.add(Purge(1, 1, kind, values, vhost), 1)
     return index
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -1,6 +1,10 @@
-"""Routers in one process share no mutable object, and the pools of one router keep to its grants together."""
+"""Routers in one process share no mutable object, and the pools of one router keep to its grants together.
+
+Nor do the parties of models and simulated fleets, which stand for processes on machines of their own.
+"""
 
 import json
+import random
 import sys
 from concurrent.futures import ThreadPoolExecutor
 
@@ -13,6 +17,7 @@
 from quartzrouter.config.parser import parse
 from quartzrouter.config.problems import PlanError, Source
 from quartzrouter.drill.host import SimulatorHost
+from quartzrouter.fakes.caches import PurgeableCache
 from quartzrouter.quota.slow_start_client import SlowStartClient
 from quartzrouter.quota.slow_start_messages import SlowStartGrant, SlowStartTerms
 from quartzrouter.routing.model import AttemptStatus, Endpoint, EndpointState, Forward, SlowStartDemand, Tier
@@ -175,3 +180,18 @@
         for whole, fault in parsed:
             assert whole.root.place.source.name == fault.place.source.name == name
             assert [str(comment) for comment in whole.comments] == [f"// {name}"] * lines
+
+
+# -- simulated caches -----------------------------------------------------------------------------
+
+
+def test_simulated_caches_share_no_index_of_a_purge(monkeypatch):
+    """All caches of a process looked up a purge in one cached index, which any of them could change."""
+    indexes = []
+    monkeypatch.setattr(
+        PurgeableCache, "_remove_copies", lambda cache, index, min_age, now: indexes.append(index)
+    )
+    purge = {"x-purge-kind": "tag", "x-purge-older-ms": "0", "x-purge-values": "rose", "x-purge-number": "1"}
+    for name in ("n1", "n2"):
+        PurgeableCache(name, {}, random.Random(1))._purge(purge)
+    assert len(indexes) == 2 and common_mutable_objects(indexes) == []
