The model of crossing fills keeps the courier's queues apart from the caches

A change to the model in which a cache reads its queue would have let it know of another cache what nobody had told it. The queues are the courier's, one process that does know them all.

Change: the queues stand in the World by cache; CacheState holds the copy and the fill only.

Measured: test_parties_of_a_model_share_no_mutable_object plays all cases of the four models.

--- a/quartzrouter/model_checking/crossing_fill_model.py
+++ b/quartzrouter/model_checking/crossing_fill_model.py
@@ -65,7 +65,6 @@
     :param copy_made_at: microseconds; None if it holds no copy.
     """
 
-    queue: DeliveryQueue
     copy_made_at: int | None = None
     fill: Fill | None = None
 
@@ -75,6 +74,7 @@
     """One state of the model.
 
     :param now: microseconds; all clocks agree.
+    :param queues: the courier's delivery queue for each cache; the only ones that know each other.
     :param steps: of time that are left.
     :param fills: of the cache that are left.
     :param purged_at: microseconds; 0: not yet.
@@ -83,6 +83,7 @@
 
     now: int
     caches: dict[str, CacheState]
+    queues: dict[str, DeliveryQueue]
     fleet_purges: FleetPurges
     steps: int
     fills: int
@@ -108,10 +109,10 @@
         for queue in (parent_queue, cache_queue):
             queue.record_purged_up_to(0, 0, START - STEP_MICROSECONDS)
             queue.record_head(0)
-        parent = CacheState(parent_queue, fill=Fill(START, START))
-        caches = {CACHE: CacheState(cache_queue), PARENT: parent}
+        caches = {CACHE: CacheState(), PARENT: CacheState(fill=Fill(START, START))}
+        queues = {CACHE: cache_queue, PARENT: parent_queue}
         fleet_purges = FleetPurges(GRACE, max(self.bounds.settle_time, STEP_MICROSECONDS), 100, 10)
-        return World(START, caches, fleet_purges, self.bounds.steps, self.bounds.fills)
+        return World(START, caches, queues, fleet_purges, self.bounds.steps, self.bounds.fills)
 
     # -- possible actions ----------------------------------------------------------------------------------
 
@@ -124,8 +125,8 @@
             yield ("time",)
         if world.purged_at and not world.knows_purge:
             yield ("learn",)
-        for name, state in world.caches.items():
-            if world.purged_at and self._may_deliver(world, state):
+        for name, queue in world.queues.items():
+            if world.purged_at and self._may_deliver(world, queue):
                 yield "deliver", name
         if parent.fill is not None:
             yield ("end_parent_fill",)
@@ -150,8 +151,7 @@
         return bool(world.purged_at) and not world.knows_purge and world.now >= world.purged_at + GRACE
 
     @staticmethod
-    def _may_deliver(world: World, state: CacheState) -> bool:
-        queue = state.queue
+    def _may_deliver(world: World, queue: DeliveryQueue) -> bool:
         is_due = any(checkpoint.due_at <= world.now for checkpoint in queue.settling.checkpoints)
         return bool(queue.pending or queue.settled or is_due)
 
@@ -159,8 +159,8 @@
         """Carries out an action, in place."""
         name, *arguments = action
         getattr(self, f"_{name}")(world, *arguments)
-        for state in world.caches.values():
-            state.queue._settle(world.now)
+        for queue in world.queues.values():
+            queue._settle(world.now)
 
     def _time(self, world: World) -> None:
         world.steps -= 1
@@ -169,9 +169,9 @@
     def _purge(self, world: World) -> None:
         """The purge is accepted, and is added to the delivery queues."""
         world.purged_at = world.now
-        for state in world.caches.values():
-            state.queue.add([self._purge_of(world)], 0)
-            state.queue.record_head(1)
+        for queue in world.queues.values():
+            queue.add([self._purge_of(world)], 0)
+            queue.record_head(1)
 
     @staticmethod
     def _purge_of(world: World) -> Purge:
@@ -184,10 +184,10 @@
 
     def _deliver(self, world: World, name: str) -> None:
         """A cache carries out all purges that are due for delivery to it."""
-        state = world.caches[name]
-        for delivery in state.queue.next_deliveries(world.now):
-            self._take(world, state, delivery)
-            state.queue.record_confirmation(delivery.purge.sequence_number)
+        queue = world.queues[name]
+        for delivery in queue.next_deliveries(world.now):
+            self._take(world, world.caches[name], delivery)
+            queue.record_confirmation(delivery.purge.sequence_number)
 
     @staticmethod
     def _take(world: World, state: CacheState, delivery: Delivery) -> None:
@@ -241,9 +241,7 @@
         """Returns the age that the router, which holds a lease, allows a copy now."""
         fleet_purges = world.fleet_purges
         fleet_purges.lease.renew(world.now)
-        fleet_purges.caches_caught_up = {
-            name: state.queue.purged_up_to for name, state in world.caches.items()
-        }
+        fleet_purges.caches_caught_up = {name: queue.purged_up_to for name, queue in world.queues.items()}
         return fleet_purges.max_age(LOOKUP, STORE, DELIVERED_TO, 0, world.now)
 
     # -- what must hold ------------------------------------------------------------------------------------
@@ -251,8 +249,8 @@
     def key(self, world: World) -> Hashable:
         """Returns what identifies a state."""
         parties = []
-        for state in world.caches.values():
-            queue, fill = state.queue, state.fill
+        for name, state in world.caches.items():
+            queue, fill = world.queues[name], state.fill
             parties.append(
                 (
                     state.copy_made_at,
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -11,13 +11,18 @@
 import pytest
 from conftest import MS, S
 from object_graph import common_mutable_objects
+from quota_simulation import SimulatedFleet as QuotaFleet
 from test_drill import START, answer, demand
+from test_leases import TTL, LeaseScenario
 from test_pool_routing import PlanScenario
+from test_quota import SLOTS
+from test_slow_start_quota import SimulatedFleet as SlowStartFleet
 
 from quartzrouter.config.parser import parse
 from quartzrouter.config.problems import PlanError, Source
 from quartzrouter.drill.host import SimulatorHost
 from quartzrouter.fakes.caches import PurgeableCache
+from quartzrouter.model_checking import crossing_fill_model, lease_model, purge_model, quota_model
 from quartzrouter.quota.slow_start_client import SlowStartClient
 from quartzrouter.quota.slow_start_messages import SlowStartGrant, SlowStartTerms
 from quartzrouter.routing.model import AttemptStatus, Endpoint, EndpointState, Forward, SlowStartDemand, Tier
@@ -182,7 +187,70 @@
             assert [str(comment) for comment in whole.comments] == [f"// {name}"] * lines
 
 
-# -- simulated caches -----------------------------------------------------------------------------
+# -- models and simulated fleets -----------------------------------------------------------------------------
+
+# By name: the model, its cases, and the parties in one of its states.
+MODELS = {
+    "leases": (
+        lease_model.LeaseModel,
+        lease_model.CASES,
+        lambda world: [*world.keepers, *world.claimants],
+    ),
+    "quotas": (
+        quota_model.QuotaModel,
+        quota_model.CASES,
+        lambda world: [*world.allocators, *world.routers],
+    ),
+    "purges": (
+        purge_model.PurgeModel,
+        purge_model.CASES,
+        lambda world: [world.disk, *world.purge_logs, *world.routers],
+    ),
+    "fills": (
+        crossing_fill_model.CrossingFillModel,
+        crossing_fill_model.CASES,
+        lambda world: [*world.caches.values(), world.queues, world.fleet_purges],
+    ),
+}
+
+
+@pytest.mark.parametrize("name", MODELS)
+def test_parties_of_a_model_share_no_mutable_object(name):
+    """What one party of a model learns without a message, the checker takes for known."""
+    model_type, cases, parties_of = MODELS[name]
+    rng = random.Random(1)
+    for bounds in cases.values():
+        for _ in range(4):
+            model = model_type(bounds)
+            world = model.start()
+            for _ in range(15):
+                actions = list(model.actions(world))
+                if not actions:
+                    break
+                model.act(world, rng.choice(actions))
+                assert common_mutable_objects(parties_of(world)) == []
+
+
+def quota_fleet():
+    fleet = QuotaFleet(SLOTS, 1, [100.0] * SLOTS.routers).run(5)
+    return [*fleet.quotas, fleet.allocator], []
+
+
+def slow_start_fleet():
+    fleet = SlowStartFleet(1)
+    return [*fleet.clients, fleet.allocator], [fleet]  # the clients' clocks are the fleet's
+
+
+def lease_fleet():
+    scenario = LeaseScenario("a", "b", "c")
+    scenario.advance(3 * TTL)
+    return [*scenario.acceptors, *scenario.proposers], []
+
+
+@pytest.mark.parametrize("play", [quota_fleet, slow_start_fleet, lease_fleet])
+def test_parties_of_a_simulated_fleet_share_no_mutable_object(play):
+    parties, known = play()
+    assert common_mutable_objects(parties, known) == []
 
 
 def test_simulated_caches_share_no_index_of_a_purge(monkeypatch):
