Patterns, which all plans of a process have from one cache, never change

Seen while looking for what routers of one process share: two routers whose plans were loaded one by one reached the same Pattern objects, each with a table of automaton steps that every check of a plan added to, and with lists and a set that anybody could change. The table held results that are the same for all, so no answer was wrong; it stayed as long as the process, up to 40,000 steps a pattern.

Cause: pattern() caches objects that could change.

Change: a pattern's parts are tuples and a frozenset, and a search keeps the steps for its own time.

Measured: test_a_pattern_does_not_change_by_its_use fails on by the table and passes. Two routers under plans loaded one by one share patterns only, before and after. 179 tests of plans pass.

--- a/quartzrouter/config/patterns.py
+++ b/quartzrouter/config/patterns.py
@@ -11,7 +11,7 @@
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS")
 MAX_WILDCARDS = 8  # of one pattern; more would express nothing more
-MAX_STATES = 40_000  # that one search visits (a second of work), and steps that one pattern caches
+MAX_STATES = 40_000  # that one search visits (a second of work), and steps of each pattern that it keeps
 TOKEN = re.compile(r"\{([^{}]*)\}|\*\*|\*|[^{}*]+|[{}]")
 CAPTURE = re.compile(r"[A-Za-z_][A-Za-z0-9_-]*(\*\*)?")
 # one of these represents all characters that no pattern contains
@@ -33,7 +33,7 @@
 class Pattern:
     """One pattern, both as a regular expression and as an automaton.
 
-    ``pattern()`` returns the same object for equal texts.
+    ``pattern()`` returns the same object for equal texts, to all plans of a process: it never changes.
 
     :param text: the pattern as the plan writes it.
     :param sep: the separator that `{name}` and `*` don't match; empty if they match all characters.
@@ -41,11 +41,9 @@
 
     def __init__(self, text: str, sep: str):
         self.text, self.sep = text, sep
-        self.captures: list[str] = []
-        # the automaton's positions: the kind, the character of a literal, True if it takes the separator too
-        self.positions: list[tuple[int, str, bool]] = []
-        # for the expression and for guesses: the kind, with the literal text or the capture's name
-        self.pieces: list[tuple[str, str]] = []
+        captures: list[str] = []
+        positions: list[tuple[int, str, bool]] = []
+        pieces: list[tuple[str, str]] = []
         after_wildcard = False
         tokens = list(TOKEN.finditer(text))
         for index, token in enumerate(tokens):
@@ -53,8 +51,8 @@
             if token_text in "{}" and name is None:
                 raise InvalidPattern(f"unmatched '{token_text}'")
             if name is None and not token_text.startswith("*"):
-                self.positions += [(LITERAL, char, False) for char in token_text]
-                self.pieces.append(("text", token_text))
+                positions += [(LITERAL, char, False) for char in token_text]
+                pieces.append(("text", token_text))
                 after_wildcard = False
                 continue
             if after_wildcard:
@@ -64,9 +62,9 @@
                 if not CAPTURE.fullmatch(name):
                     raise InvalidPattern(f"'{{{name}}}' isn't a valid capture name")
                 name = name.removesuffix("**")
-                if name in self.captures:
+                if name in captures:
                     raise InvalidPattern(f"'{{{name}}}' is used twice")
-                self.captures.append(name)
+                captures.append(name)
             takes_separator = token_text in ("**",) or token_text.endswith("**}") or not sep
             is_last, is_first = index == len(tokens) - 1, index == 0
             if takes_separator and sep and not (is_last if sep == "/" else is_first):
@@ -74,17 +72,21 @@
                     f"'{token_text}' is allowed only at the {'end' if sep == '/' else 'start'}"
                 )
             if name is not None and not token_text.endswith("**}"):
-                self.positions += [(ONE, "", takes_separator), (ANY_NUMBER, "", takes_separator)]
-                self.pieces.append(("one", name))
+                positions += [(ONE, "", takes_separator), (ANY_NUMBER, "", takes_separator)]
+                pieces.append(("one", name))
             else:
-                self.positions.append((ANY_NUMBER, "", takes_separator))
-                self.pieces.append(("deep" if takes_separator else "star", name or ""))
-        if len([piece for piece in self.pieces if piece[0] != "text"]) > MAX_WILDCARDS:
+                positions.append((ANY_NUMBER, "", takes_separator))
+                pieces.append(("deep" if takes_separator else "star", name or ""))
+        if len([piece for piece in pieces if piece[0] != "text"]) > MAX_WILDCARDS:
             raise InvalidPattern(f"more than {MAX_WILDCARDS} wildcards")
-        self.cached_steps: dict[tuple[int, str], int] = {}
-        self.literal_chars = {char for kind, char, _ in self.positions if kind == LITERAL}
+        self.captures = tuple(captures)
+        # the automaton's positions: the kind, the character of a literal, True if it takes the separator too
+        self.positions = tuple(positions)
+        # for the expression and for guesses: the kind, with the literal text or the capture's name
+        self.pieces = tuple(pieces)
+        self.literal_chars = frozenset(char for kind, char, _ in positions if kind == LITERAL)
         self.start_state = self._skip_optional(1)
-        self.accepting_bit = 1 << len(self.positions)
+        self.accepting_bit = 1 << len(positions)
 
     def __repr__(self) -> str:
         return f"Pattern({self.text!r})"
@@ -149,9 +151,6 @@
 
     def step(self, state: int, char: str) -> int:
         """Returns the state after a character; 0 if no match is possible any more."""
-        cached = self.cached_steps.get((state, char))
-        if cached is not None:
-            return cached
         after = 0
         for position, (kind, literal, takes_separator) in enumerate(self.positions):
             if not state >> position & 1:
@@ -160,10 +159,7 @@
                 after |= (literal == char) << position + 1
             elif takes_separator or char != self.sep:
                 after |= 1 << (position + 1 if kind == ONE else position)
-        after = self._skip_optional(after)
-        if len(self.cached_steps) < MAX_STATES:
-            self.cached_steps[state, char] = after
-        return after
+        return self._skip_optional(after)
 
     def guess(self, filler: str) -> str:
         """Returns the pattern with each wildcard replaced by a text, which it may or may not match."""
@@ -206,6 +202,7 @@
     alphabet = [other, *sorted(chars)]
     start = tuple(one.start_state for one in patterns)
     seen, queue = {start}, deque([(start, "")])
+    steppers = [lru_cache(MAX_STATES)(one.step) for one in patterns]
     while queue:
         state, text = queue.popleft()
         is_accepted = all(part & one.accepting_bit for one, part in zip(yes, state, strict=False))
@@ -214,7 +211,7 @@
         ):
             return text
         for char in alphabet:
-            after = tuple(one.step(part, char) for one, part in zip(patterns, state, strict=True))
+            after = tuple(step(part, char) for step, part in zip(steppers, state, strict=True))
             if all(after[: len(yes)]) and after not in seen:
                 if len(seen) >= MAX_STATES:
                     raise SearchLimitExceeded
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -3,6 +3,7 @@
 Nor do the parties of models and simulated fleets, which stand for processes on machines of their own.
 """
 
+import copy
 import json
 import random
 import sys
@@ -19,6 +20,7 @@
 from test_slow_start_quota import SimulatedFleet as SlowStartFleet
 
 from quartzrouter.config.parser import parse
+from quartzrouter.config.patterns import pattern, witness
 from quartzrouter.config.problems import PlanError, Source
 from quartzrouter.drill.host import SimulatorHost
 from quartzrouter.fakes.caches import PurgeableCache
@@ -156,6 +158,37 @@
     assert common_mutable_objects(list(host.instances.values())) == []
 
 
+def test_routers_whose_plans_were_loaded_one_by_one_share_no_mutable_object():
+    """All plans of a process have their patterns from one cache."""
+    scenarios = [PlanScenario(), PlanScenario()]
+    for scenario in scenarios:
+        for path in ("/once/a", "/far/a", "/few/a", "/a"):
+            scenario.request(path)
+            scenario.finish(AttemptStatus.SUCCEEDED)
+    patterns = {
+        each
+        for scenario in scenarios
+        for route in scenario.plan.routes
+        for box in route.boxes
+        for each in box.path.required
+    }
+    assert len(patterns) == 6
+    assert common_mutable_objects([scenario.router for scenario in scenarios], known=patterns) == []
+
+
+def test_a_pattern_does_not_change_by_its_use():
+    """A table of the steps of its automaton grew with each plan that was checked."""
+    used = pattern("/shared-*/{item}/b*", "/")
+    assert used.match("/shared-a/c/b") and used.capture("/shared-a/c/b") == {"item": "c"}
+    before = copy.deepcopy(vars(used))
+    assert used.walk("/shared-a/c/b") and witness([used], [pattern("/shared-a*/**", "/")])
+    assert witness([used, pattern("/*b/c/**", "/")], [pattern("/*-b/**", "/")])
+    after = vars(used)
+    assert {name: after[name] for name in before} == before
+    parts = tuple(after.values())
+    assert common_mutable_objects([parts, parts]) == []
+
+
 @pytest.fixture
 def frequent_thread_switches():
     interval = sys.getswitchinterval()
