A plan doesn't fail to load because another thread is done with one

Seen while looking for what routers of one process share, not in service, where a process loads one plan at a time: of two threads that load plans, the second got a RecursionError out of load() for a sound plan, and the interpreter's recursion limit stayed at 20,000.

Cause: the evaluator raised the limit and put back what it had found. The limit is the process's: the first thread lowered it while the second was deep, and the second put back the raised one.

Change: config/recursion_limit.py counts the evaluations: the first raises the limit, the last puts it back.

--- a/quartzrouter/config/evaluator.py
+++ b/quartzrouter/config/evaluator.py
@@ -5,9 +5,7 @@
 The caller passes the function that reads files, so that this module does no I/O.
 """
 
-import sys
 from collections.abc import Callable
-from contextlib import contextmanager
 from fractions import Fraction
 from pathlib import PurePosixPath
 from typing import Any
@@ -15,6 +13,7 @@
 from quartzrouter.config import quantity, syntax_tree
 from quartzrouter.config.parser import parse
 from quartzrouter.config.problems import Fault, Faults, Place, PlanError, Source, joined_names, suggestion
+from quartzrouter.config.recursion_limit import RaisedRecursionLimit
 from quartzrouter.config.values import (
     POISON,
     Closure,
@@ -31,7 +30,8 @@
 MAX_SIZE = 1_000_000  # items and fields made in all, and sixteenths of the characters
 MAX_FILES = 500
 MAX_NESTED_INCLUDES = 40
-RECURSION_LIMIT = 20_000  # frames of the interpreter: up to eight for each of MAX_LEVELS levels
+# frames of the interpreter: up to eight for each of MAX_LEVELS levels
+RAISED_RECURSION_LIMIT = RaisedRecursionLimit(20_000)
 
 Loader = Callable[[str], str]  # returns the text of the file at a path; raises Unreadable
 
@@ -114,7 +114,7 @@
         self.open_files.append((path, include_place))
         try:
             parsed = parse(source)
-            with _raised_recursion_limit():
+            with RAISED_RECURSION_LIMIT:
                 value = self.evaluate(parsed.root, Scope(None, BUILTINS))
         except Exhausted:
             raise
@@ -541,16 +541,6 @@
     return str(PurePosixPath(*parts))
 
 
-@contextmanager
-def _raised_recursion_limit():
-    before = sys.getrecursionlimit()
-    sys.setrecursionlimit(max(before, RECURSION_LIMIT))
-    try:
-        yield
-    finally:
-        sys.setrecursionlimit(before)
-
-
 # -- built-in functions: the docstrings end error messages such as "len: takes a list, a record or a text" ---
 
 NO_PLACE = Place(Source("", ""), 0, 0)
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -8,6 +8,7 @@
 import random
 import sys
 from concurrent.futures import ThreadPoolExecutor
+from threading import Event
 
 import pytest
 from conftest import MS, S
@@ -19,6 +20,7 @@
 from test_quota import SLOTS
 from test_slow_start_quota import SimulatedFleet as SlowStartFleet
 
+from quartzrouter.config.loader import load
 from quartzrouter.config.parser import parse
 from quartzrouter.config.patterns import pattern, witness
 from quartzrouter.config.problems import PlanError, Source
@@ -31,6 +33,7 @@
 
 REQUEST_TIME = 400 * MS  # charged for each request, as there are no samples of sending times
 GRANT = 6 * S  # of sending time
+THREAD_TIMEOUT = 10  # seconds
 TERMS = SlowStartTerms(window=S, guaranteed_share=0.0, routers=8, grant_ttl=10 * S)
 PLAN = """{
   deployment: { name: "t", home: "north" },
@@ -220,6 +223,41 @@
             assert [str(comment) for comment in whole.comments] == [f"// {name}"] * lines
 
 
+def test_a_plan_that_is_evaluated_does_not_fail_for_the_end_of_another():
+    """The second plan is half evaluated when the first one ends, and is deep in its other half."""
+    limit_before = sys.getrecursionlimit()
+    is_first_half_done, is_second_half_done, is_first_over = Event(), Event(), Event()
+    functions = " ".join(f"local f{n}(x) = f{n - 1}(x) + 1;" for n in range(1, 301))
+
+    def read_first(path):
+        if path == "first":
+            return '{ gate: include "gate" }'
+        is_first_half_done.set()
+        assert is_second_half_done.wait(THREAD_TIMEOUT)
+        return "1"
+
+    def read_second(path):
+        if path == "second":
+            return f'local f0(x) = x; {functions} {{ gate: include "gate", deep: f300(1) }}'
+        is_second_half_done.set()
+        assert is_first_over.wait(THREAD_TIMEOUT)
+        return "1"
+
+    def load_first():
+        load("first", read_first)
+        is_first_over.set()
+
+    def load_second():
+        assert is_first_half_done.wait(THREAD_TIMEOUT)
+        return load("second", read_second).value.slots["deep"].value
+
+    with ThreadPoolExecutor(2) as threads:
+        first, second = threads.submit(load_first), threads.submit(load_second)
+        first.result()
+        assert second.result() == 301
+    assert sys.getrecursionlimit() == limit_before
+
+
 # -- models and simulated fleets -----------------------------------------------------------------------------
 
 # By name: the model, its cases, and the parties in one of its states.
