A seeded play of pools under grants, expiry, failures and new plans

The handing over of grants between pools had single scenes only. GrantsPlay draws requests of three or four pools, their ends, late, early and doubled grants, expiry and changes of the plan from a seed, and checks after each step that no more sending time was used at a starting cache than was granted.

--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -147,6 +147,66 @@
     assert scenario.send("bc", 300) == GRANT // REQUEST_TIME - 1
 
 
+class GrantsPlay(PoolsScenario):
+    """Requests of all pools, their ends, grants, expiry and new plans, in an order drawn from a seed.
+
+    Sending to n1 needs a grant, as no share of its budget is guaranteed.
+    """
+
+    def __init__(self, seed):
+        super().__init__(lists_both=True)
+        self.rng = random.Random(seed)
+        self.unanswered = []  # requests for sending time
+        self.granted = 0
+        self.used = 0
+        self.plans = [self.plan, self.load(PLAN.replace("c: {} }", "c: {}, d: {} }"))]
+
+    def play(self, steps):
+        """Returns the sending time that was granted and the sending time that was used."""
+        actions = [self.send_one, self.end_one, self.ask_for_grants, self.answer_one, self.change_plan]
+        for _ in range(steps):
+            self.now += self.rng.choice((1, 5, 40)) * MS
+            self.rng.choices(actions, (50, 30, 8, 8, 1))[0]()
+            assert self.used <= self.granted, f"{self.used} us used of {self.granted} us"
+        return self.granted, self.used
+
+    def record_use(self, decision):
+        self.used += REQUEST_TIME * (isinstance(decision, Forward) and decision.endpoint == "n1")
+
+    def send_one(self):
+        self.record_use(self.request(f"/{self.rng.choice('abc')}/{self.rng.randrange(90)}"))
+
+    def end_one(self):
+        if self.attempt_numbers:
+            request_id = self.rng.choice(list(self.attempt_numbers))
+            status = self.rng.choice([AttemptStatus.SUCCEEDED] * 5 + [AttemptStatus.CONNECTION_LOST])
+            decision = self.finish(status, request_id)
+            if not isinstance(decision, Forward):
+                del self.attempt_numbers[request_id]
+            self.record_use(decision)
+
+    def ask_for_grants(self):
+        self.unanswered += self.client.due_requests(self.router.slow_start_demand(self.now))
+
+    def answer_one(self):
+        """Applies a late or an early grant, now and then twice."""
+        if self.unanswered:
+            asked = self.unanswered.pop(self.rng.randrange(len(self.unanswered)))
+            sending_time = min(asked.wanted, self.rng.choice((1, 3, 7)) * REQUEST_TIME)
+            grant = SlowStartGrant(asked.endpoint, asked.sequence_number, sending_time)
+            self.granted += sending_time
+            self.client.apply_grants([grant] * self.rng.choice((1, 1, 2)))
+
+    def change_plan(self):
+        self.router.replace(self.rng.choice(self.plans), self.now)
+
+
+def test_pools_never_use_more_than_was_granted():
+    """Some of what is granted must be used, or the play would not test it."""
+    plays = [GrantsPlay(seed).play(600) for seed in range(20)]
+    assert sum(used for _, used in plays) > 200 * REQUEST_TIME
+
+
 # -- routers of several machines in one process --------------------------------------------------------------
 
 
