--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -33,6 +33,7 @@
 
 REQUEST_TIME = 400 * MS  # charged for each request, as there are no samples of sending times
 GRANT = 6 * S  # of sending time
+RESTART_INTERVAL = 10 * S  # shorter than slow start
 THREAD_TIMEOUT = 10  # seconds
 TERMS = SlowStartTerms(window=S, guaranteed_share=0.0, routers=8, grant_ttl=10 * S)
 PLAN = """{
@@ -63,13 +64,19 @@
             slow_start_client=SlowStartClient({"cache": TERMS}, lambda: self.now),
         )
         endpoints = [
-            Endpoint("n1", "north", Tier.CACHE, "cache", 0, EndpointState.UP, 6, started_at=self.now),
             Endpoint("p", "h", Tier.PARENT, "parent", 0, EndpointState.UP, 20, 0),
             Endpoint("o", "h", Tier.ORIGIN, "origin", 0, EndpointState.UP, 8, 0),
         ]
         if lists_both:
             endpoints.append(Endpoint("n2", "north", Tier.CACHE, "cache", 0, EndpointState.UP, 6, 0))
         self.router.update_endpoints(endpoints, True, self.now)
+        self.start_n1()
+
+    def start_n1(self):
+        """Lists n1 as started now."""
+        self.n1_started_at = self.now
+        n1 = Endpoint("n1", "north", Tier.CACHE, "cache", 0, EndpointState.UP, 6, self.now)
+        self.router.update_endpoints([n1], False, self.now)
 
     @property
     def client(self):
@@ -150,7 +157,8 @@
 class GrantsPlay(PoolsScenario):
     """Requests of all pools, their ends, grants, expiry and new plans, in an order drawn from a seed.
 
-    Sending to n1 needs a grant, as no share of its budget is guaranteed.
+    Sending to n1 needs a grant, as no share of its budget is guaranteed, and n1 starts again before its slow
+    start is over.
     """
 
     def __init__(self, seed):
@@ -167,6 +175,8 @@
         for _ in range(steps):
             self.now += self.rng.choice((1, 5, 40)) * MS
             self.rng.choices(actions, (50, 30, 8, 8, 1))[0]()
+            if self.now - self.n1_started_at >= RESTART_INTERVAL:
+                self.start_n1()
             assert self.used <= self.granted, f"{self.used} us used of {self.granted} us"
         return self.granted, self.used
 
