The routers of a plan's pools stand in a class of their own, PoolRouterSet

Logic as it was. What only the fleet's tasks call (reports, demand, load, verdicts) they call there; tests name the new places, no assertion changed.

--- a/quartzrouter/pool_routing/multi_pool_router.py
+++ b/quartzrouter/pool_routing/multi_pool_router.py
@@ -10,12 +10,12 @@
 from typing import Any
 
 from quartzrouter.config.matcher import Matcher
-from quartzrouter.config.model import Plan, Pool
+from quartzrouter.config.model import Plan
 from quartzrouter.config.request_sets import RouteQuery
-from quartzrouter.pool_routing.fleet_reports import merge_demand, merge_observations
 from quartzrouter.pool_routing.policy_budgets import PolicyBudgets
 from quartzrouter.pool_routing.policy_classes import effective_traffic_classes
 from quartzrouter.pool_routing.pool_router import PoolRouter
+from quartzrouter.pool_routing.pool_router_set import PoolRouterSet
 from quartzrouter.pool_routing.pools import PoolSelector
 from quartzrouter.pool_routing.purge_bounds import PurgeBounds
 from quartzrouter.pool_routing.rate_limits import LimitExceeded, RateLimiter
@@ -30,34 +30,24 @@
 from quartzrouter.purges.fleet_purges import CachedCopy, FleetPurges
 from quartzrouter.quota.client import QuotaClient
 from quartzrouter.quota.slow_start_client import SlowStartClient
-from quartzrouter.routing.freshness import Freshness
 from quartzrouter.routing.model import (
     AttemptResult,
     AttemptStatus,
     CacheCount,
     Decision,
     Endpoint,
-    EndpointState,
     Forward,
-    HealthObservation,
     MaintenanceActions,
     Reject,
     Request,
-    SlowStart,
-    SlowStartDemand,
-    Tier,
 )
 from quartzrouter.routing.router import Router
-from quartzrouter.routing.units import MILLISECOND, NEVER
-
-MIN_MAINTENANCE_INTERVAL = 1 * MILLISECOND  # prevents a busy loop if maintenance is always due
 
 
 class MultiPoolRouter:
     """Has the interface of a ``Router``, and decides by a plan.
 
-    :ivar pool_routers: the router of each pool, by the pool's name.
-    :ivar draining_pool_routers: routers of pools that are gone, which still have requests in flight.
+    :ivar pool_routers: the routers of the pools, and of pools that are gone.
     :ivar routers_by_request: the router of each request in flight, by request id.
     :ivar selections_by_request: the route of each request in flight, by request id.
     """
@@ -86,15 +76,12 @@
         self.pools = PoolSelector(plan.pools, plan.splits)
         self.policy_budgets = PolicyBudgets()
         self.purge_bounds = PurgeBounds(fleet_purges)
-        self.freshness = Freshness(router_arguments["purge_lifetime"])  # for routers that are created later
-        self.endpoints: dict[str, Endpoint] = {}
-        self.pool_routers: dict[str, PoolRouter] = {}
-        self.draining_pool_routers: list[PoolRouter] = []
+        slow_start_terms = slow_start_client.terms if slow_start_client else {}
+        self.pool_routers = PoolRouterSet(router_arguments, slow_start_terms)
         self.routers_by_request: dict[int, PoolRouter] = {}
         self.selections_by_request: dict[int, RouteSelection] = {}
-        self.needs_maintenance: set[PoolRouter] = set()
         self._load_plan(plan)
-        self._assign_routers(0)
+        self.pool_routers.assign(plan, self.traffic_classes, 0)
 
     # -- the plan --------------------------------------------------------------------------------------
 
@@ -106,7 +93,7 @@
         self.pools.replace(plan.pools, plan.splits)
         self.policy_budgets.keep_only(plan.policies)
         self._load_plan(plan)
-        self._assign_routers(now)
+        self.pool_routers.assign(plan, self.traffic_classes, now)
 
     def _load_plan(self, plan: Plan) -> None:
         self.plan = plan
@@ -115,61 +102,6 @@
         self.retry_limits = retry_limits_by_route(plan)
         self.traffic_classes = effective_traffic_classes(plan)
 
-    def _assign_routers(self, now: int) -> None:
-        """Assigns each pool the router of its name, or a new one with the current endpoints and purges."""
-        before = self.pool_routers
-        self._retire(pool_router for name, pool_router in before.items() if name not in self.plan.pools)
-        self.pool_routers = {}
-        for name, pool in self.plan.pools.items():
-            is_new = name not in before
-            pool_router = PoolRouter(pool, self._new_router()) if is_new else before[name]
-            pool_router.pool = pool
-            pool_router.router.set_locations(self._locations(pool))
-            pool_router.router.add_traffic_classes(self.traffic_classes)
-            if self.endpoints:
-                pool_router.update_endpoints(self.endpoints.values(), True, now)
-                if is_new:
-                    pool_router.router.exhaust_slow_start(now)
-            self.pool_routers[name] = pool_router
-        for pool_router in self._all_pool_routers():
-            self._share_budgets(pool_router, len(self._all_pool_routers()))
-        self.needs_maintenance.update(self.pool_routers.values())
-
-    def _retire(self, gone: Iterable[PoolRouter]) -> None:
-        candidates = [*self.draining_pool_routers, *gone]
-        self.draining_pool_routers = [
-            pool_router for pool_router in candidates if pool_router.router.has_requests()
-        ]
-
-    def _new_router(self) -> Router:
-        arguments = self.router_arguments | {"traffic_classes": list(self.traffic_classes.values())}
-        router = Router(**arguments)
-        router.copy_purges_from(self.freshness)
-        return router
-
-    def _share_budgets(self, pool_router: PoolRouter, pool_count: int) -> None:
-        """Sets how many pools, over all routers, share the slow-start budgets and the fill limits.
-
-        :param pool_count: the pools of this router, including those that drain; each other router is assumed
-            to have as many.
-        """
-        all_routers = self.router_arguments["parent_slow_start"].routers
-        for key, tier in (("cache_slow_start", Tier.CACHE), ("parent_slow_start", Tier.PARENT)):
-            slow_start: SlowStart = self.router_arguments[key]
-            is_at_home = pool_router.pool.stores == (self.home_location,)
-            routers = slow_start.routers if is_at_home else all_routers
-            terms = self.slow_start_client.terms.get(tier.value) if self.slow_start_client else None
-            guaranteed_share = terms.guaranteed_share if terms else 1.0
-            pool_router.router.share_slow_start(tier, routers * pool_count, guaranteed_share)
-        pool_router.router.share_fill_limits(all_routers * pool_count)
-
-    def _locations(self, pool: Pool) -> tuple[str, ...]:
-        """Returns the pool's stores, or those of its listed caches if it names no stores."""
-        return pool.stores or tuple({self.plan.caches[name]["at"] for name in pool.caches})
-
-    def _all_pool_routers(self) -> list[PoolRouter]:
-        return [*self.pool_routers.values(), *self.draining_pool_routers]
-
     # -- admission ---------------------------------------------------------------------------------------
 
     def select_route(self, asked: RouteQuery, client: str) -> RouteSelection | None:
@@ -191,11 +123,11 @@
         if exceeded:
             return LimitExceeded(exceeded.limit, self.retry_after(selection, exceeded.retry_after))
         self.selections_by_request[request_id] = selection
-        self.routers_by_request[request_id] = self.pool_routers[pool]
+        self.routers_by_request[request_id] = self.pool_routers.by_pool[pool]
         return None
 
     def _count_caches(self, pool: str, now: int) -> CacheCount:
-        return self.pool_routers[pool].count_caches(now)
+        return self.pool_routers.by_pool[pool].count_caches(now)
 
     def client_timeout(self, selection: RouteSelection, requested: int) -> int:
         """Returns the time until the client of a request no longer waits.
@@ -323,13 +255,12 @@
     def _forget_if_over(self, request_id: int) -> None:
         """Drops a request that has ended at its router, and a draining router after its last request."""
         pool_router = self.routers_by_request[request_id]
-        self.needs_maintenance.add(pool_router)
+        self.pool_routers.needs_maintenance.add(pool_router)
         if pool_router.router.is_in_flight(request_id):
             return
         del self.routers_by_request[request_id]
         del self.selections_by_request[request_id]
-        if pool_router in self.draining_pool_routers and not pool_router.router.has_requests():
-            self.draining_pool_routers.remove(pool_router)
+        self.pool_routers.remove_if_drained(pool_router)
 
     def is_outdated(self, selection: RouteSelection, decision: Forward, now: int) -> bool:
         """Returns True if an attempt would now be sent with a lower maximal age, by the fleet's purges."""
@@ -345,78 +276,17 @@
 
     def update_endpoints(self, endpoints: Iterable[Endpoint], is_snapshot: bool, now: int) -> None:
         """See ``Router.update_endpoints()``."""
-        endpoints_by_name = {endpoint.name: endpoint for endpoint in endpoints}
-        merged = endpoints_by_name if is_snapshot else self.endpoints | endpoints_by_name
-        self.endpoints = {
-            name: endpoint for name, endpoint in merged.items() if endpoint.state is not EndpointState.GONE
-        }
-        self.purge_bounds.endpoints = self.endpoints
-        for pool_router in self._all_pool_routers():
-            pool_router.update_endpoints(endpoints_by_name.values(), is_snapshot, now)
-        self.needs_maintenance.update(self._all_pool_routers())
+        self.pool_routers.update_endpoints(endpoints, is_snapshot, now)
+        self.purge_bounds.endpoints = self.pool_routers.endpoints
 
     def record_purge(self, tag: int | None, object_key: str | None, age: int, now: int) -> None:
         """See ``Router.record_purge()``."""
-        self.freshness.record(tag, object_key, now - age, now)
-        for pool_router in self._all_pool_routers():
-            pool_router.router.record_purge(tag, object_key, age, now)
+        self.pool_routers.record_purge(tag, object_key, age, now)
 
     def record_health_check(self, name: str, status: AttemptStatus, now: int) -> None:
         """See ``Router.record_health_check()``."""
-        for pool_router in self._all_pool_routers():
-            pool_router.router.record_health_check(name, status, now)
-        self.needs_maintenance.update(self._all_pool_routers())
+        self.pool_routers.record_health_check(name, status, now)
 
     def maintenance(self, now: int) -> MaintenanceActions:
-        """Runs the maintenance of routers that have changed or whose maintenance is due."""
-        health_checks: dict[str, None] = {}
-        timeout = 0
-        needs_discovery = False
-        due = NEVER
-        for pool_router in self._all_pool_routers():
-            if pool_router in self.needs_maintenance or pool_router.next_maintenance_at <= now:
-                actions = pool_router.maintenance(now)
-                health_checks |= dict.fromkeys(actions.health_checks)
-                timeout = actions.health_check_timeout
-                needs_discovery = needs_discovery or actions.needs_discovery
-            due = min(due, pool_router.next_maintenance_at)
-        self.needs_maintenance.clear()
-        delay = max(MIN_MAINTENANCE_INTERVAL, due - now)
-        return MaintenanceActions(delay, tuple(health_checks), timeout, needs_discovery)
-
-    # -- exchange with the other routers of the fleet ------------------------------------------------------
-
-    def health_observations(self, now: int) -> dict[str, HealthObservation]:
-        """Returns the observations of each cache by the routers of all pools, by the cache's name."""
-        return merge_observations(
-            each
-            for pool_router in self._all_pool_routers()
-            for each in pool_router.router.health_observations(now)
-        )
-
-    def slow_start_demand(self, now: int) -> list[SlowStartDemand]:
-        """Returns the demand of the routers of all pools for each endpoint in slow start."""
-        return merge_demand(
-            each
-            for pool_router in self._all_pool_routers()
-            for each in pool_router.router.slow_start_demand(now)
-        )
-
-    def set_fleet_load(self, in_flight: Mapping[str, int], own: Mapping[str, int], now: int) -> None:
-        """Applies the number of requests that all routers have in flight at each cache.
-
-        :param in_flight: the number by cache; below 0 if unknown.
-        :param own: this process's part of it, as it reported to the fleet.
-        """
-        elsewhere = {
-            name: -1 if count < 0 else max(0, count - own.get(name, 0)) for name, count in in_flight.items()
-        }
-        for pool_router in self._all_pool_routers():
-            pool_router.router.set_fleet_load(elsewhere, now)
-
-    def set_ejected_by_peers(self, ejected_until: Mapping[str, int], now: int) -> None:
-        """See ``Router.set_ejected_by_peers()``."""
-        for pool_router in self._all_pool_routers():
-            pool_router.router.set_ejected_by_peers(ejected_until, now)
-            pool_router.endpoints_changed()
-        self.needs_maintenance.update(self._all_pool_routers())
+        """See ``Router.maintenance()``."""
+        return self.pool_routers.maintenance(now)
--- a/quartzrouter/standalone/state_machine.py
+++ b/quartzrouter/standalone/state_machine.py
@@ -168,17 +168,17 @@
         if loads is None:
             return
         own_load = {name: observation.in_flight for name, observation in self.reported.items()}
-        self.multi_pool_router.set_fleet_load(loads, own_load, now)
+        self.multi_pool_router.pool_routers.set_fleet_load(loads, own_load, now)
 
     def _eject_by_peers(self, verdicts: tuple[EjectionVerdict, ...], now: int) -> None:
         """Ejects endpoints that other routers report, few at a time; each ejection expires by itself."""
-        known_endpoints = len(self.multi_pool_router.health_observations(now))
+        known_endpoints = len(self.multi_pool_router.pool_routers.health_observations(now))
         until = accepted_ejections(verdicts, known_endpoints, now)
         for endpoint in until.keys() - self.ejected_by_peers.keys():
             peers = next(verdict.reported_by for verdict in verdicts if verdict.cache == endpoint)
             log.info("%s is ejected on the reports of %s", endpoint, ", ".join(peers[:MAX_PEERS_LOGGED]))
         self.ejected_by_peers = until
-        self.multi_pool_router.set_ejected_by_peers(until, now)
+        self.multi_pool_router.pool_routers.set_ejected_by_peers(until, now)
 
     # -- messages to the purge log -----------------------------------------------------------------
 
@@ -190,7 +190,9 @@
         slow_start_requests = ()
         slow_start = self.multi_pool_router.slow_start_client
         if slow_start and slow_start.terms:
-            slow_start_requests = slow_start.due_requests(self.multi_pool_router.slow_start_demand(now))
+            slow_start_requests = slow_start.due_requests(
+                self.multi_pool_router.pool_routers.slow_start_demand(now)
+            )
         if not (requests or slow_start_requests):
             return []
         return [QueueMessage(QuotaRequests(requests, slow_start_requests))]
@@ -199,7 +201,7 @@
         """Reports this router's observations of endpoints since its last report to the other routers."""
         if not (self.replica and self.replica.aggregates_health):
             return []
-        observations = self.multi_pool_router.health_observations(now)
+        observations = self.multi_pool_router.pool_routers.health_observations(now)
         if only_failures and not self._has_new_failure(observations):
             return []
         last_report = self.reported
--- a/tests/test_fleet_health.py
+++ b/tests/test_fleet_health.py
@@ -278,19 +278,19 @@
     scenario = PlanScenario()
     caches = {
         observation.cache
-        for observation in scenario.router.health_observations(scenario.now).values()
+        for observation in scenario.router.pool_routers.health_observations(scenario.now).values()
         if observation.cache.startswith("n")
     }
     bad = sorted(caches)[0]
     assert set(requests_by_cache(scenario, 80)) == caches
     scenario.now += SECOND
-    scenario.router.set_ejected_by_peers({bad: scenario.now + 5 * SECOND}, scenario.now)
+    scenario.router.pool_routers.set_ejected_by_peers({bad: scenario.now + 5 * SECOND}, scenario.now)
     assert set(requests_by_cache(scenario, 80)) == caches - {bad}
     scenario.now += 5 * SECOND
     assert bad in requests_by_cache(scenario, 80)
     scenario.now += SECOND
-    scenario.router.set_ejected_by_peers({bad: scenario.now + 5 * SECOND}, scenario.now)
-    scenario.router.set_ejected_by_peers({}, scenario.now)
+    scenario.router.pool_routers.set_ejected_by_peers({bad: scenario.now + 5 * SECOND}, scenario.now)
+    scenario.router.pool_routers.set_ejected_by_peers({}, scenario.now)
     assert bad in requests_by_cache(scenario, 80)
 
 
@@ -298,16 +298,18 @@
     """Peers eject a cache that served this router well a moment ago; the router continues to use it."""
     scenario = PlanScenario()
     bad = sorted(requests_by_cache(scenario, 80))[0]
-    scenario.router.set_ejected_by_peers({bad: scenario.now + 5 * SECOND}, scenario.now)
+    scenario.router.pool_routers.set_ejected_by_peers({bad: scenario.now + 5 * SECOND}, scenario.now)
     assert bad in requests_by_cache(scenario, 80)
-    assert scenario.router.health_observations(scenario.now)[bad].completed > 0
+    assert scenario.router.pool_routers.health_observations(scenario.now)[bad].completed > 0
 
 
 def test_ejecting_all_caches_ejects_none():
     scenario = PlanScenario()
     names = set(requests_by_cache(scenario, 80))
     scenario.now += SECOND
-    scenario.router.set_ejected_by_peers(dict.fromkeys(names, scenario.now + 5 * SECOND), scenario.now)
+    scenario.router.pool_routers.set_ejected_by_peers(
+        dict.fromkeys(names, scenario.now + 5 * SECOND), scenario.now
+    )
     assert requests_by_cache(scenario, 40)
 
 
--- a/tests/test_pool_routing.py
+++ b/tests/test_pool_routing.py
@@ -331,15 +331,15 @@
 
 def test_a_new_plan_keeps_the_state_of_routers_and_finishes_requests_in_flight(scenario):
     decision = scenario.request("/a")
-    router = scenario.router.pool_routers["near"].router
+    router = scenario.router.pool_routers.by_pool["near"].router
     scenario.router.record_purge(None, "00" * 8, 0, scenario.now)
     text = PLAN.replace("pools: {", 'pools: { third: { stores: ["north", "south"] },')
     text = text.replace(
         'path: "/few/**" }, vhost: "page", pool: "near"', 'path: "/few/**" }, vhost: "page", pool: "third"'
     )
     scenario.router.replace(scenario.load(text), scenario.now)
-    assert scenario.router.pool_routers["near"].router is router
-    third = scenario.router.pool_routers["third"].router
+    assert scenario.router.pool_routers.by_pool["near"].router is router
+    third = scenario.router.pool_routers.by_pool["third"].router
     assert third.freshness.purged_at == router.freshness.purged_at and third.endpoints.locations == (
         "north",
         "south",
@@ -351,18 +351,18 @@
 
 def test_a_plan_without_a_pool_finishes_the_requests_of_that_pool(scenario):
     scenario.request("/far/a")
-    far = scenario.router.pool_routers["far"]
+    far = scenario.router.pool_routers.by_pool["far"]
     text = PLAN.replace('far: { stores: "south" },', "").replace(
         'near: { fallback: "far", at_least: 2, back_after: 1s },', "near: {},"
     )
     text = text.replace('pool: "far"', 'pool: "near"')
     for _ in range(2):  # two new plans within a second
         scenario.router.replace(scenario.load(text), scenario.now)
-    assert scenario.router.draining_pool_routers == [far]
+    assert scenario.router.pool_routers.draining == [far]
     assert isinstance(scenario.finish(AttemptStatus.CONNECTION_LOST, 1), Forward)
     assert scenario.finish(AttemptStatus.SUCCEEDED, 1) is None
     assert (
-        scenario.router.draining_pool_routers == []
+        scenario.router.pool_routers.draining == []
         and not scenario.router.routers_by_request
         and not scenario.router.selections_by_request
     )
@@ -372,7 +372,7 @@
 def count_attempts_in_slow_start(scenario, change_plan):
     """Returns the attempts at a cache in slow start within a window, if the plan changes in its middle."""
     scenario.update_endpoints(scenario.plan)
-    for name, endpoint in list(scenario.router.endpoints.items()):
+    for name, endpoint in list(scenario.router.pool_routers.endpoints.items()):
         if name == "n1":
             scenario.router.update_endpoints(
                 [replace(endpoint, started_at=scenario.now)], False, scenario.now
@@ -403,17 +403,19 @@
     assert 0 < after <= before
     routers = {
         pool_router.router.slow_start.budgets[Tier.CACHE].terms.routers
-        for pool_router in changed.router.pool_routers.values()
+        for pool_router in changed.router.pool_routers.by_pool.values()
     }
     assert routers == {6}  # one router, six pools
-    assert {pool_router.router.fills.routers for pool_router in changed.router.pool_routers.values()} == {6}
+    assert {
+        pool_router.router.fills.routers for pool_router in changed.router.pool_routers.by_pool.values()
+    } == {6}
 
 
 def test_the_router_of_a_removed_pool_without_requests_leaves_at_once(scenario):
     text = PLAN.replace('far: { stores: "south" },', 'other: { stores: "south" },')
     text = text.replace('"far"', '"other"')
     scenario.router.replace(scenario.load(text), scenario.now)
-    assert scenario.router.draining_pool_routers == [] and set(scenario.router.pool_routers) == {
+    assert scenario.router.pool_routers.draining == [] and set(scenario.router.pool_routers.by_pool) == {
         "near",
         "other",
     }
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -95,9 +95,6 @@
         decisions = [self.request(f"/{pools[number % len(pools)]}/{number}") for number in range(count)]
         return sum(isinstance(each, Forward) and each.endpoint == "n1" for each in decisions)
 
-    def pool_routers(self):
-        return [*self.router.pool_routers.values(), *self.router.draining_pool_routers]
-
 
 # -- the pools of one router ---------------------------------------------------------------------------------
 
@@ -121,19 +118,19 @@
     for request_id in list(scenario.attempt_numbers):
         failed = request_id % 5 == 0
         scenario.finish(AttemptStatus.CONNECTION_LOST if failed else AttemptStatus.SUCCEEDED, request_id)
-    router.set_fleet_load({"n1": 4, "n2": 2}, {"n1": 1}, now)
-    router.set_ejected_by_peers({"n2": now + S}, now)
+    router.pool_routers.set_fleet_load({"n1": 4, "n2": 2}, {"n1": 1}, now)
+    router.pool_routers.set_ejected_by_peers({"n2": now + S}, now)
     router.record_purge(7, None, 0, now)
     router.record_purge(None, "0f" * 8, 0, now)
     router.record_health_check("n1", AttemptStatus.SUCCEEDED, now)
     router.maintenance(now)
-    assert router.slow_start_demand(now) and router.health_observations(now)
+    assert router.pool_routers.slow_start_demand(now) and router.pool_routers.health_observations(now)
     scenario.request("/a/in-flight")
     plan = PLAN.replace("pools: { a: {},", "pools: { d: {},").replace('["a", "b"', '["d", "b"')
     router.replace(scenario.load(plan), now)
     scenario.send("dbc", 30)
-    assert len(scenario.pool_routers()) == 4
-    parties = [*scenario.pool_routers(), scenario.client]
+    assert len(list(scenario.router.pool_routers)) == 4
+    parties = [*scenario.router.pool_routers, scenario.client]
     assert common_mutable_objects(parties, known=[scenario]) == []  # the client's clock is the scenario's
 
 
@@ -141,7 +138,7 @@
     """The request is forwarded to n1, and then an error ends the decision."""
     scenario = PoolsScenario()
     scenario.grant(GRANT)
-    router = scenario.router.pool_routers["a"].router
+    router = scenario.router.pool_routers.by_pool["a"].router
     start = router.attempts.start
 
     def start_and_fail(*arguments):
@@ -196,7 +193,7 @@
             self.record_use(decision)
 
     def ask_for_grants(self):
-        self.unanswered += self.client.due_requests(self.router.slow_start_demand(self.now))
+        self.unanswered += self.client.due_requests(self.router.pool_routers.slow_start_demand(self.now))
 
     def answer_one(self):
         """Applies a late or an early grant, now and then twice."""
