Without grants nothing is handed to a pool's router, and nothing is charged to grants

Change: MultiPoolRouter hands grants over where there are any, and a router records a use of a grant only where the endpoint has one; the client ignored the others before, too.

--- a/quartzrouter/pool_routing/multi_pool_router.py
+++ b/quartzrouter/pool_routing/multi_pool_router.py
@@ -204,14 +204,16 @@
         Guards against sending more than was granted to an endpoint in slow start: the routers of all pools
         use the same grants, so each has them for the time of its decision only.
         """
-        if not self.slow_start_client:
+        client = self.slow_start_client
+        granted = client.sending_time_left() if client else {}
+        if client is None or not granted:
             return self._decide_within_limits(request_id, may_retry, call_router, now)
         router = self.routers_by_request[request_id].router
-        router.set_slow_start_grants(self.slow_start_client.sending_time_left())
+        router.set_slow_start_grants(granted)
         try:
             return self._decide_within_limits(request_id, may_retry, call_router, now)
         finally:
-            self.slow_start_client.spend(router.return_slow_start_grants())
+            client.spend(router.return_slow_start_grants())
 
     def _decide_within_limits(
         self, request_id: int, may_retry: bool, call_router: Callable[[Router], Decision | None], now: int
--- a/quartzrouter/routing/slow_start.py
+++ b/quartzrouter/routing/slow_start.py
@@ -203,8 +203,9 @@
         budget.record_demand(index, sending_time)
         if self._allows_without_grant(budget, index, sending_time, now):
             return budget.charge(index, sending_time, now)
-        self.granted[endpoint.name] = self.granted.get(endpoint.name, 0) - sending_time
-        self.grant_charges.append(GrantCharge(endpoint.name, sending_time))
+        if endpoint.name in self.granted:
+            self.granted[endpoint.name] -= sending_time
+            self.grant_charges.append(GrantCharge(endpoint.name, sending_time))
         return Charge(now, sending_time)
 
     def record_unmet_demand(self, tier: Tier, order: list[int], sending_time: int, now: int) -> None:
