The play of pools under grants takes each request from a grant that is valid then

Change: grants live 500 ms in the play, and each request to the starting cache is taken from an account of its own that holds what was granted until its end. Grants must be used and must end unused, or the test fails. This is stricter than the sum: what it admits, the sum admits too.

--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -33,6 +33,7 @@
 
 REQUEST_TIME = 400 * MS  # charged for each request, as there are no samples of sending times
 GRANT = 6 * S  # of sending time
+PLAYED_GRANT_TTL = 500 * MS
 RESTART_INTERVAL = 10 * S  # shorter than slow start
 THREAD_TIMEOUT = 60  # seconds
 TERMS = SlowStartTerms(window=S, guaranteed_share=0.0, routers=8, grant_ttl=10 * S)
@@ -56,12 +57,12 @@
 class PoolsScenario(PlanScenario):
     """Three pools with the same caches, of which n1 is in slow start and n2 is listed only if asked for."""
 
-    def __init__(self, lists_both=False):
+    def __init__(self, lists_both=False, terms=TERMS):
         super().__init__(PLAN)
         self.router = type(self.router)(
             self.plan,
             self.router.router_arguments,
-            slow_start_client=SlowStartClient({"cache": TERMS}, lambda: self.now),
+            slow_start_client=SlowStartClient({"cache": terms}, lambda: self.now),
         )
         endpoints = [
             Endpoint("p", "h", Tier.PARENT, "parent", 0, EndpointState.UP, 20, 0),
@@ -159,26 +160,36 @@
     """
 
     def __init__(self, seed):
-        super().__init__(lists_both=True)
+        super().__init__(lists_both=True, terms=TERMS._replace(grant_ttl=PLAYED_GRANT_TTL))
         self.rng = random.Random(seed)
-        self.unanswered = []  # requests for sending time
-        self.granted = 0
-        self.used = 0
+        self.unanswered = []  # requests for sending time, each with the time at which it was made
+        self.left = []  # of each grant, by the request's time: until when it may be used, and what is unused
+        self.granted = self.used = self.expired = 0
         self.plans = [self.plan, self.load(PLAN.replace("c: {} }", "c: {}, d: {} }"))]
 
     def play(self, steps):
-        """Returns the sending time that was granted and the sending time that was used."""
+        """Returns the sending time that was granted, used, and not used before its end."""
         actions = [self.send_one, self.end_one, self.ask_for_grants, self.answer_one, self.change_plan]
         for _ in range(steps):
             self.now += self.rng.choice((1, 5, 40)) * MS
             self.rng.choices(actions, (50, 30, 8, 8, 1))[0]()
             if self.now - self.n1_started_at >= RESTART_INTERVAL:
                 self.start_n1()
-            assert self.used <= self.granted, f"{self.used} us used of {self.granted} us"
-        return self.granted, self.used
+        return self.granted, self.used, self.expired
 
     def record_use(self, decision):
-        self.used += REQUEST_TIME * (isinstance(decision, Forward) and decision.endpoint == "n1")
+        """Takes a request to n1 from the grants that are valid now, those that end first before others."""
+        if not (isinstance(decision, Forward) and decision.endpoint == "n1"):
+            return
+        self.used += REQUEST_TIME
+        self.expired += sum(unused for ends_at, unused in self.left if ends_at <= self.now)
+        self.left = sorted([ends_at, unused] for ends_at, unused in self.left if ends_at > self.now)
+        assert sum(unused for _, unused in self.left) >= REQUEST_TIME, "used without a valid grant"
+        missing = REQUEST_TIME
+        for each in self.left:
+            taken = min(missing, each[1])
+            each[1] -= taken
+            missing -= taken
 
     def send_one(self):
         self.record_use(self.request(f"/{self.rng.choice('abc')}/{self.rng.randrange(90)}"))
@@ -193,15 +204,17 @@
             self.record_use(decision)
 
     def ask_for_grants(self):
-        self.unanswered += self.client.due_requests(self.router.pool_routers.slow_start_demand(self.now))
+        demands = self.router.pool_routers.slow_start_demand(self.now)
+        self.unanswered += [(self.now, request) for request in self.client.due_requests(demands)]
 
     def answer_one(self):
         """Applies a late or an early grant, now and then twice."""
         if self.unanswered:
-            asked = self.unanswered.pop(self.rng.randrange(len(self.unanswered)))
+            asked_at, asked = self.unanswered.pop(self.rng.randrange(len(self.unanswered)))
             sending_time = min(asked.wanted, self.rng.choice((1, 3, 7)) * REQUEST_TIME)
             grant = SlowStartGrant(asked.endpoint, asked.sequence_number, sending_time)
             self.granted += sending_time
+            self.left.append([asked_at + PLAYED_GRANT_TTL, sending_time])
             self.client.apply_grants([grant] * self.rng.choice((1, 1, 2)))
 
     def change_plan(self):
@@ -209,9 +222,10 @@
 
 
 def test_pools_never_use_more_than_was_granted():
-    """Some of what is granted must be used, or the play would not test it."""
+    """Grants must be used and must end unused in the plays, or these would not test it."""
     plays = [GrantsPlay(seed).play(600) for seed in range(20)]
-    assert sum(used for _, used in plays) > 200 * REQUEST_TIME
+    assert sum(used for _, used, _ in plays) > 200 * REQUEST_TIME
+    assert sum(expired for _, _, expired in plays) > 200 * REQUEST_TIME
 
 
 # -- routers of several machines in one process --------------------------------------------------------------
