A late grant of sending time isn't used after its end

Traced: the client held one grant, which had ended 0.117 s before. The allocator counts that time as free and may have granted it to others, so a starting cache may get more than its slow start allows.

Change: apply_grants() keeps the grants in the order in which they end.

--- a/quartzrouter/quota/slow_start_client.py
+++ b/quartzrouter/quota/slow_start_client.py
@@ -1,5 +1,6 @@
 """A router's part in slow start: requests and uses sending time at starting endpoints. No I/O."""
 
+from bisect import insort
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
@@ -195,7 +196,8 @@
                 continue
             expires_at = self.terms[allowance.tier].grant_expiry(requested_at)
             if grant.sending_time and expires_at > now:
-                allowance.grants.append(SendingTimeGrant(expires_at, grant.sending_time))
+                # Guards against use after expiry: a late grant may expire before one that has arrived.
+                insort(allowance.grants, SendingTimeGrant(expires_at, grant.sending_time))
 
     def request_interval(self) -> int | None:
         """Returns the microseconds until the next check for demand, or None if no slow start is shared."""
--- a/tests/test_slow_start_quota.py
+++ b/tests/test_slow_start_quota.py
@@ -196,6 +196,20 @@
     assert client.sending_time_left() == {}
 
 
+def test_a_grant_that_overtakes_an_earlier_one_does_not_prolong_it():
+    """The grant of the first request arrives after that of the second one, and was used until its end."""
+    clock = Clock()
+    client = SlowStartClient({"cache": TERMS}, clock)
+    (first,) = client.due_requests(demand_of(REQUEST_TIME))
+    clock.now += 300 * MILLISECOND
+    (second,) = client.due_requests(demand_of(REQUEST_TIME))
+    client.apply_grants([SlowStartGrant("n0", second.sequence_number, REQUEST_TIME)])
+    client.apply_grants([SlowStartGrant("n0", first.sequence_number, 2 * REQUEST_TIME)])
+    clock.now += 200 * MILLISECOND  # the first grant expires
+    (third,) = client.due_requests(demand_of(REQUEST_TIME))
+    assert third.sending_time_left == REQUEST_TIME and third.returned == 2 * REQUEST_TIME
+
+
 def test_a_grant_counts_once_and_only_for_its_request():
     """One grant is duplicated in transit, one answers no request, and one is for another endpoint."""
     clock = Clock()
